Log what the sidecar holds, and each request and attempt that is not served

The log could not tell a good stretch from a bad one: it had no counts of connections, requests or goroutines, and no line with a request's id. No behaviour changes.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -240,6 +240,15 @@
 	Moot                 // never sent
 )
 
+var statusNames = [...]string{"ok", "error", "full", "timeout", "connect failed", "reset", "cancelled", "moot"}
+
+func (s Status) String() string {
+	if int(s) < len(statusNames) {
+		return statusNames[s]
+	}
+	return "unknown"
+}
+
 // Outcome tells how an attempt ended. Load is valid during the call only.
 type Outcome struct {
 	ID       uint64
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -149,6 +149,10 @@
 // request's end, when the balancer still learns from it.
 func (l *loop) outcome(now balancer.Micros, r *request, o balancer.Outcome, res result) {
 	r.out--
+	if res.status != balancer.OK {
+		l.log.Info("attempt not served", "id", r.message.header.Get("X-Correlation-Id"), "attempt", o.Attempt,
+			"endpoint", o.Endpoint, "status", res.status, "ms", o.Latency/1000, "error", res.err)
+	}
 	if res.status == balancer.OK {
 		l.finish(r, answer{code: http.StatusOK, header: res.header, body: res.body})
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,7 @@
 	socketSpare  = 32                     // descriptors for discovery, logs and the runtime
 	busyRetry    = time.Second            // wait told to clients that find all connections in use
 	timeLeftMost = time.Minute            // that a request gets
+	reportEvery  = time.Second            // between log lines of what the sidecar holds
 	ioTimeout    = 2 * time.Minute        // for a request from its first byte to its answer's last
 )
 
@@ -31,8 +33,8 @@
 	http    http.Server
 	classes map[string]uint8
 	tenants map[string]uint16
-	most    int64 // connections
-	open    atomic.Int64
+	most    int // connections
+	clients clients
 	ending  atomic.Bool
 
 	acceptFor time.Duration // after SIGTERM
@@ -61,6 +63,7 @@
 
 func (s *server) serve(ctx context.Context, listener net.Listener) error {
 	go s.loop.run()
+	go s.report(ctx)
 	served := make(chan error, 1)
 	go func() { served <- s.http.Serve(listener) }()
 	select {
@@ -72,8 +75,8 @@
 }
 
 func newServer(l *loop) *server {
-	s := &server{loop: l, classes: map[string]uint8{}, tenants: map[string]uint16{}, most: int64(connections(l.cfg)),
-		acceptFor: acceptAfter}
+	s := &server{loop: l, classes: map[string]uint8{}, tenants: map[string]uint16{}, most: connections(l.cfg),
+		clients: clients{conns: map[net.Conn]http.ConnState{}}, acceptFor: acceptAfter}
 	for i, c := range l.cfg.Settings.Classes {
 		s.classes[c.Name] = uint8(i)
 	}
@@ -90,17 +93,34 @@
 	}
 	s.http = http.Server{Handler: http.HandlerFunc(handler), ReadTimeout: ioTimeout, WriteTimeout: ioTimeout, IdleTimeout: ioTimeout,
 		MaxHeaderBytes: headMost, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn),
-		ConnState: func(_ net.Conn, state http.ConnState) {
-			switch state {
-			case http.StateNew:
-				s.open.Add(1)
-			case http.StateClosed, http.StateHijacked:
-				s.open.Add(-1)
-			}
-		}}
+		ConnState: s.clients.note}
 	return s
 }
 
+// report logs once in a while what the sidecar holds, so that a bad stretch can
+// be told from a good one.
+func (s *server) report(ctx context.Context) {
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			s.loop.post(s.holds)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// holds logs the counts. The loop runs it.
+func (s *server) holds(balancer.Micros) {
+	fresh, active, idle := s.clients.states()
+	open, spare := s.loop.up.connections()
+	s.loop.log.Info("holds", "clients_new", fresh, "clients_active", active, "clients_idle", idle,
+		"upstream_open", open, "upstream_idle", spare, "requests", len(s.loop.requests),
+		"events", len(s.loop.events), "goroutines", runtime.NumGoroutine())
+}
+
 // drain ends the service without losing a request. Idle connections are closed
 // at once, while a client whose request crosses that can still connect anew;
 // every answer from here on closes its connection.
@@ -134,37 +154,25 @@
 
 func (e *badRequest) Error() string { return e.reason }
 
-func bad(format string, args ...any) error {
+func bad(format string, args ...any) *badRequest {
 	return &badRequest{http.StatusBadRequest, fmt.Sprintf(format, args...)}
 }
 
 // request takes one request and gives its one final answer.
 func (s *server) request(w http.ResponseWriter, in *http.Request) {
 	arrived := s.loop.clock.now()
-	if s.open.Load() > s.most {
+	if s.clients.open() > s.most {
 		// Beyond this the process runs out of descriptors, and then it can
 		// neither accept nor send.
 		w.Header().Set("Connection", "close")
 		writeAnswer(w, answer{code: http.StatusServiceUnavailable, retryAfter: busyRetry.Microseconds()})
 		return
 	}
-	req, err := s.parse(in, arrived)
+	req, body, err := s.read(w, in, arrived)
 	if err != nil {
-		var b *badRequest
-		if !errors.As(err, &b) {
-			b = &badRequest{http.StatusBadRequest, err.Error()}
-		}
-		http.Error(w, b.reason, b.code)
-		return
-	}
-	in.Body = http.MaxBytesReader(w, in.Body, bodyMost)
-	body, err := io.ReadAll(in.Body)
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		http.Error(w, fmt.Sprintf("the body is over %d bytes", bodyMost), http.StatusRequestEntityTooLarge)
-		return
-	} else if err != nil {
-		http.Error(w, "the body could not be read", http.StatusBadRequest)
+		s.loop.log.Info("improper request", "id", in.Header.Get("X-Correlation-Id"), "from", in.RemoteAddr,
+			"proto", in.Proto, "length", in.ContentLength, "error", err)
+		http.Error(w, err.reason, err.code)
 		return
 	}
 	r := &request{answer: make(chan answer, 1),
@@ -172,8 +180,12 @@
 	s.loop.post(func(now balancer.Micros) { s.loop.take(now, r, req) })
 	select {
 	case a := <-r.answer:
+		if a.code != http.StatusOK {
+			s.ended(in, arrived, a.code)
+		}
 		writeAnswer(w, a)
 	case <-in.Context().Done():
+		s.ended(in, arrived, 0)
 		s.loop.post(func(now balancer.Micros) { s.loop.gone(now, r) })
 		// A client that has only stopped sending must not read a whole answer
 		// that no endpoint gave.
@@ -181,6 +193,29 @@
 	}
 }
 
+// read reads a request to its end.
+func (s *server) read(w http.ResponseWriter, in *http.Request, arrived balancer.Micros) (balancer.Request, []byte, *badRequest) {
+	req, err := s.parse(in, arrived)
+	if err != nil {
+		return req, nil, err
+	}
+	body, failed := io.ReadAll(http.MaxBytesReader(w, in.Body, bodyMost))
+	var large *http.MaxBytesError
+	if errors.As(failed, &large) {
+		return req, nil, &badRequest{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is over %d bytes", bodyMost)}
+	} else if failed != nil {
+		return req, nil, bad("the body could not be read: %v", failed)
+	}
+	return req, body, nil
+}
+
+// ended logs a request that was not served; code 0 stands for a client that
+// went away.
+func (s *server) ended(in *http.Request, arrived balancer.Micros, code int) {
+	s.loop.log.Info("request not served", "id", in.Header.Get("X-Correlation-Id"), "from", in.RemoteAddr,
+		"code", code, "ms", (s.loop.clock.now()-arrived)/1000)
+}
+
 func writeAnswer(w http.ResponseWriter, a answer) {
 	endToEnd(w.Header(), a.header)
 	if a.retryAfter > 0 {
@@ -192,7 +227,7 @@
 }
 
 // parse reads the headers of a request.
-func (s *server) parse(in *http.Request, arrived balancer.Micros) (balancer.Request, error) {
+func (s *server) parse(in *http.Request, arrived balancer.Micros) (balancer.Request, *badRequest) {
 	var req balancer.Request
 	h := in.Header
 	if h.Get("X-Correlation-Id") == "" {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -302,7 +302,7 @@
 		}
 		held = append(held, conn)
 	}
-	w.until("all connections to be taken", func() bool { return w.server.open.Load() >= w.server.most })
+	w.until("all connections to be taken", func() bool { return w.server.clients.open() >= w.server.most })
 	got := w.send(w.request("read", "", 3*time.Second))
 	if got.code != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Errorf("beyond the limit: %+v", got)
@@ -310,7 +310,7 @@
 	for _, conn := range held {
 		conn.Close()
 	}
-	w.until("the connections to end", func() bool { return w.server.open.Load() < w.server.most })
+	w.until("the connections to end", func() bool { return w.server.clients.open() < w.server.most })
 	if got := w.send(w.request("read", "", 3*time.Second)); got.code != http.StatusOK {
 		t.Errorf("with room again: %+v", got)
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -75,6 +75,7 @@
 	body   []byte
 	load   []float32
 	took   time.Duration // from the write to the end, without the time to connect
+	err    error         // why there is no whole answer, for the log
 }
 
 // Reasons for which the sidecar itself sends nothing.
@@ -102,11 +103,11 @@
 func (u *upstream) attempt(ctx context.Context, t *target, m *message) result {
 	c, err := u.connect(ctx, t)
 	if err != nil {
-		return result{status: unsent(ctx, err)}
+		return result{status: unsent(ctx, err), err: err}
 	}
 	start := time.Now()
 	response, body, err := u.exchange(ctx, c, m)
-	r := result{status: balancer.Error, took: time.Since(start)}
+	r := result{status: balancer.Error, took: time.Since(start), err: err}
 	var never *unsentError
 	switch {
 	case errors.As(err, &never):
@@ -233,6 +234,16 @@
 	return nil, nil
 }
 
+// connections counts the open connections and the idle ones among them.
+func (u *upstream) connections() (open, idle int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, list := range u.idle {
+		idle += len(list)
+	}
+	return u.open, idle
+}
+
 // drop closes a connection. It holds u.mu.
 func (u *upstream) drop(c *conn) {
 	c.Close()
