--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -170,8 +170,7 @@
 	}
 	req, body, err := s.read(w, in, arrived)
 	if err != nil {
-		s.loop.log.Info("improper request", "id", in.Header.Get("X-Correlation-Id"), "from", in.RemoteAddr,
-			"proto", in.Proto, "length", in.ContentLength, "error", err)
+		s.logRequest("improper request", in, "error", err)
 		http.Error(w, err.reason, err.code)
 		return
 	}
@@ -212,8 +211,14 @@
 // ended logs a request that was not served; code 0 stands for a client that
 // went away.
 func (s *server) ended(in *http.Request, arrived balancer.Micros, code int) {
-	s.loop.log.Info("request not served", "id", in.Header.Get("X-Correlation-Id"), "from", in.RemoteAddr,
-		"code", code, "ms", (s.loop.clock.now()-arrived)/1000)
+	s.logRequest("request not served", in, "code", code, "ms", (s.loop.clock.now()-arrived)/1000)
+}
+
+// logRequest logs what became of a request, with its id, its connection and how
+// its body was framed.
+func (s *server) logRequest(what string, in *http.Request, args ...any) {
+	s.loop.log.With("id", in.Header.Get("X-Correlation-Id"), "from", in.RemoteAddr, "proto", in.Proto,
+		"length", in.ContentLength, "coding", in.TransferEncoding).Info(what, args...)
 }
 
 func writeAnswer(w http.ResponseWriter, a answer) {
