End peers that send no proper request, which held the descriptors

Cause: a connection without a request was kept for two minutes, and one whose request was refused as malformed for as long again. Ruled out: upstream connections (61 open, 53 of them idle) and requests in hand (1 active) at that moment.

The whole request now has 2 s, malformed ones are answered with a close, and idle connections last 10 s. The read limit is lifted once the body is there: the server's background read would else take the time-out for the client's going.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -24,7 +24,9 @@
 	busyRetry    = time.Second            // wait told to clients that find all connections in use
 	timeLeftMost = time.Minute            // that a request gets
 	reportEvery  = time.Second            // between log lines of what the sidecar holds
-	ioTimeout    = 2 * time.Minute        // for a request from its first byte to its answer's last
+	readTimeout  = 2 * time.Second        // for a whole request: a peer without a proper one is owed an end within 3 s
+	writeTimeout = 2 * time.Second        // for an answer, from its first byte on
+	idleTimeout  = 10 * time.Second       // between a client's requests
 )
 
 // server takes the application's requests.
@@ -91,8 +93,8 @@
 			s.request(w, in)
 		}
 	}
-	s.http = http.Server{Handler: http.HandlerFunc(handler), ReadTimeout: ioTimeout, WriteTimeout: ioTimeout, IdleTimeout: ioTimeout,
-		MaxHeaderBytes: headMost, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn),
+	s.http = http.Server{Handler: http.HandlerFunc(handler), ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		WriteTimeout: timeLeftMost + writeTimeout, MaxHeaderBytes: headMost, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn),
 		ConnState: s.clients.note}
 	return s
 }
@@ -171,9 +173,16 @@
 	req, body, err := s.read(w, in, arrived)
 	if err != nil {
 		s.logRequest("improper request", in, "error", err)
+		w.Header().Set("Connection", "close") // such peers keep what they are left, and clients need the room
 		http.Error(w, err.reason, err.code)
 		return
 	}
+	// From here on a read only watches for the client's going, however long the
+	// answer takes.
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		panic(http.ErrAbortHandler) // the connection is gone
+	}
 	r := &request{answer: make(chan answer, 1),
 		message: &message{method: in.Method, url: in.URL, host: in.Host, header: in.Header, body: body}}
 	s.loop.post(func(now balancer.Micros) { s.loop.take(now, r, req) })
@@ -182,6 +191,7 @@
 		if a.code != http.StatusOK {
 			s.ended(in, arrived, a.code)
 		}
+		control.SetWriteDeadline(time.Now().Add(writeTimeout)) // the write tells of a connection that is gone
 		writeAnswer(w, a)
 	case <-in.Context().Done():
 		s.ended(in, arrived, 0)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -290,6 +290,51 @@
 	}
 }
 
+// A peer without a proper request is owed an error or an end within 3 s, and
+// leaves the room it took. One whose answer takes longer than that keeps its own.
+func TestImproperPeersAreEnded(t *testing.T) {
+	t.Parallel()
+	answer := make(chan struct{})
+	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		e.next(in)
+		<-answer
+		io.WriteString(conn, served)
+	})
+	w := start(t, nil, ready("s-1", e.address))
+	held := make(chan reply, 1)
+	go func() { held <- w.send(w.request("pay", "x", time.Minute)) }()
+	w.until("the request in hand", func() bool { n, _ := e.seen(); return n == 1 })
+
+	head := "POST /pay HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: 1\r\nX-Service-Class: pay\r\nX-Time-Left-Ms: 900\r\n"
+	for name, sends := range map[string]string{
+		"nothing":        "",
+		"half a head":    head,
+		"half a body":    head + "Idempotency-Key: 1\r\nContent-Length: 10\r\n\r\nhalf",
+		"a wrong class":  strings.Replace(head, ": pay", ": gift", 1) + "Content-Length: 0\r\n\r\n",
+		"no key":         head + "Content-Length: 1\r\n\r\nx",
+		"a broken chunk": head + "Idempotency-Key: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"noise":          "\x16\x03\x01\x02\x00\r\n\r\n",
+	} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		io.WriteString(conn, sends)
+		conn.SetReadDeadline(time.Now().Add(patience))
+		if got, err := io.ReadAll(conn); err != nil || len(got) > 0 && !strings.HasPrefix(string(got), "HTTP/1.1 4") {
+			t.Errorf("%s: read %q, %v; want an error answer or nothing, and the end", name, got, err)
+		}
+	}
+	close(answer)
+	if got := <-held; got.code != http.StatusOK {
+		t.Errorf("the request in hand meanwhile: %+v", got)
+	}
+	if n, _ := e.seen(); n != 1 {
+		t.Errorf("%d requests reached the endpoint, want the proper one alone", n)
+	}
+}
+
 // Beyond its share of descriptors the sidecar refuses and closes the connection.
 func TestConnectionsOfClientsAreBounded(t *testing.T) {
 	e := newEndpoint(t, always(served))
