--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -118,7 +118,7 @@
 func (s *server) holds(balancer.Micros) {
 	fresh, active, idle := s.clients.states()
 	open, spare := s.loop.up.connections()
-	s.loop.log.Info("holds", "clients_new", fresh, "clients_active", active, "clients_idle", idle,
+	s.loop.log.Info("holds", "taken", s.loop.lastID, "accepted", s.clients.total(), "clients_new", fresh, "clients_active", active, "clients_idle", idle,
 		"upstream_open", open, "upstream_idle", spare, "requests", len(s.loop.requests),
 		"events", len(s.loop.events), "goroutines", runtime.NumGoroutine())
 }
@@ -167,6 +167,7 @@
 		// Beyond this the process runs out of descriptors, and then it can
 		// neither accept nor send.
 		w.Header().Set("Connection", "close")
+		s.ended(in, arrived, http.StatusServiceUnavailable)
 		writeAnswer(w, answer{code: http.StatusServiceUnavailable, retryAfter: busyRetry.Microseconds()})
 		return
 	}
