End the connection of a readiness check

Ruled out: the application itself (requests taken stand still while idle connections grow) and busy refusals (they close).

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -142,7 +142,10 @@
 	return nil
 }
 
+// ready answers a check of readiness, and ends its connection: anyone may ask,
+// and one that stays would take an application's room.
 func (s *server) ready(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
 	if s.ending.Load() || !s.loop.listed.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -335,6 +335,21 @@
 	}
 }
 
+// Checks of readiness leave no connection behind.
+func TestReadinessCheckEndsItsConnection(t *testing.T) {
+	w := start(t, nil, ready("s-1", "127.0.0.1:1"))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	io.WriteString(conn, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	conn.SetReadDeadline(time.Now().Add(idleTimeout / 2))
+	if got, err := io.ReadAll(conn); err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 200") {
+		t.Errorf("read %q, %v; want 200 and the end", got, err)
+	}
+}
+
 // Beyond its share of descriptors the sidecar refuses and closes the connection.
 func TestConnectionsOfClientsAreBounded(t *testing.T) {
 	e := newEndpoint(t, always(served))
