Let a chunked request be the last on its connection

Cause: where a body is chunked, net/http drops a Content-Length given beside the coding and takes what follows the last chunk for a request of its own, though by that length it is a part of the body. Such a nested request went to the pin servers. RFC 9112 6.1 has the server close after such a request. HTTP/1.0 with a chunked coding has the same effect and is refused with 505.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -174,6 +174,12 @@
 		writeAnswer(w, answer{code: http.StatusServiceUnavailable, retryAfter: busyRetry.Microseconds()})
 		return
 	}
+	if len(in.TransferEncoding) > 0 {
+		// Where a length was given too, the two disagree on the request's end, and
+		// what follows may be a part of its body. The parser drops that length, so
+		// any chunked request is the last on its connection (RFC 9112, 6.1).
+		w.Header().Set("Connection", "close")
+	}
 	req, body, err := s.read(w, in, arrived)
 	if err != nil {
 		s.logRequest("improper request", in, "error", err)
@@ -208,6 +214,10 @@
 
 // read reads a request to its end.
 func (s *server) read(w http.ResponseWriter, in *http.Request, arrived balancer.Micros) (balancer.Request, []byte, *badRequest) {
+	if !in.ProtoAtLeast(1, 1) {
+		// HTTP/1.0 has no chunked coding: the parser takes such a body for the next request.
+		return balancer.Request{}, nil, &badRequest{http.StatusHTTPVersionNotSupported, "the version must be 1.1"}
+	}
 	req, err := s.parse(in, arrived)
 	if err != nil {
 		return req, nil, err
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -335,6 +335,50 @@
 	}
 }
 
+// What stands inside the body of a request is no request, whichever way the
+// body's end is told.
+func TestBodyIsNoRequest(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	head := "POST /pay HTTP/1.1\r\nHost: x\r\nX-Service-Class: pay\r\nX-Time-Left-Ms: 9000\r\nIdempotency-Key: 1\r\n"
+	inner := head + "X-Correlation-Id: inner\r\nContent-Length: 0\r\n\r\n"
+	outer := head + "X-Correlation-Id: outer\r\n"
+	inChunk := "0\r\n\r\n" + inner
+	length := "Content-Length: " + strconv.Itoa(len(inChunk)) + "\r\n"
+	for name, c := range map[string]struct{ sends, code string }{
+		"length and chunks": {outer + length + "Transfer-Encoding: chunked\r\n\r\n" + inChunk, "200"},
+		"chunks and length": {outer + "Transfer-Encoding: chunked\r\n" + length + "\r\n" + inChunk, "200"},
+		"chunks in HTTP/1.0": {strings.Replace(outer, "1.1", "1.0", 1) +
+			"Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n" + inner, "505"},
+		"two lengths":      {outer + length + "Content-Length: 0\r\n\r\n" + inChunk, "400"},
+		"an unknown code":  {outer + length + "Transfer-Encoding: xchunked\r\n\r\n" + inChunk, "501"},
+		"a malformed head": {outer + "X-Time-Left-Ms : 5\r\n" + length + "\r\n" + inChunk, "400"},
+	} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		io.WriteString(conn, c.sends)
+		conn.SetReadDeadline(time.Now().Add(patience))
+		// The end may come as a reset, since what was not read is dropped.
+		got, _ := io.ReadAll(conn)
+		if !strings.HasPrefix(string(got), "HTTP/1.1 "+c.code) && !strings.HasPrefix(string(got), "HTTP/1.0 "+c.code) ||
+			strings.Count(string(got), "HTTP/1.") != 1 {
+			t.Errorf("%s: read %q, want one answer %s and the end", name, got, c.code)
+		}
+	}
+	requests, _ := e.seen()
+	for i := range requests {
+		if id := e.request(i).Header.Get("X-Correlation-Id"); id != "outer" {
+			t.Errorf("the endpoint got the request %q", id)
+		}
+	}
+	if requests != 2 {
+		t.Errorf("%d requests reached the endpoint, want the two chunked ones", requests)
+	}
+}
+
 // Checks of readiness leave no connection behind.
 func TestReadinessCheckEndsItsConnection(t *testing.T) {
 	w := start(t, nil, ready("s-1", "127.0.0.1:1"))
