--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -719,8 +719,9 @@
 		c := &b.classes[r.Class]
 		c.since++
 		if !first || c.since < b.passOf || now-c.passed < forcedPass {
-			b.log(now, "refuse", "refusing, %.0f%% of late: the best, endpoint %d, would take %.0f ms, limit %.0f ms",
-				100*b.refused.v, e.ID, x/1000, most/1000)
+			b.log(now, "refuse", "refusing, %.0f%% of late: the best, endpoint %d, would take %.0f ms, limit %.0f ms; "+
+				"load %.1f, usual %.1f, slowdown %.1f",
+				100*b.refused.v, e.ID, x/1000, most/1000, b.load(e), b.usual.v, b.slowdown())
 			return false
 		}
 		c.passed, c.since = now, 0
