Let passes served in time follow each other, so that refusals end with the jam

Cause: the trend of latencies over predictions is learned from own outcomes alone. Now a pass that was served in time lets the next one go without that wait; passes that earn nothing still get rarer.

A fade of the trend by time was tried and left: it lets 160 of 200 requests into a jam that goes on (TestPassesThatFailGetRarer).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -719,8 +719,8 @@
 		c := &b.classes[r.Class]
 		c.since++
 		if !first || c.since < b.passOf || now-c.passed < forcedPass {
-			b.log(now, "refuse", "refusing, %.0f%% of late: the best, endpoint %d, would take %.0f ms, limit %.0f ms; "+
-				"load %.1f, usual %.1f, slowdown %.1f",
+			b.log(now, "refuse", "refusing, %.0f%% of late: the best, endpoint %d, would take %.0f ms, limit %.0f ms"+
+				"; load %.1f, usual %.1f, slowdown %.1f",
 				100*b.refused.v, e.ID, x/1000, most/1000, b.load(e), b.usual.v, b.slowdown())
 			return false
 		}
@@ -840,6 +840,9 @@
 	if o.Status == OK && !r.ended && now-r.arrived <= b.class(r).Aim {
 		r.good = 1
 		b.passOf = passLeast
+		if r.pass { // a jam may be over: to tell so by one pass a second would take many seconds more
+			b.classes[r.Class].passed = 0
+		}
 	} else if r.pass {
 		b.passOf = min(2*b.passOf, passMost) // a jam needs rest: what is passed into it only keeps it
 	}
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -455,6 +455,29 @@
 	}
 }
 
+// A jam that is over must not be refused to for long: as passes are served in time, more follow, until the
+// fleet is known to be well again.
+func TestPassesThatServeEndTheRefusals(t *testing.T) {
+	b, r := start(t, testSettings(), ready(1))
+	b.classes[0].work.v = 250_000
+	b.trend = trendMost
+	const gap = second / 200
+	last := Micros(0) // refusal
+	for i := range uint64(1000) {
+		now := 10*second + Micros(i)*gap
+		b.Probed(now, 1, OK, 500, []float32{0})
+		b.Request(now, request0(i, 0, now))
+		if n := len(r.sends); n == 0 || r.sends[n-1].id != i {
+			last = now
+			continue
+		}
+		b.Outcome(now+gap/2, Outcome{ID: i, Endpoint: 1, Status: OK, Latency: 50_000, Settled: true})
+	}
+	if last < 10*second || last > 12*second {
+		t.Errorf("the last request is refused %.1f s after the jam, want within 2 s", float64(last-10*second)/1e6)
+	}
+}
+
 // Random tries must not use up a short list, nor a list without shares.
 func TestDrawFindsWhatIsThere(t *testing.T) {
 	for n := range 12 {
