--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -329,6 +329,11 @@
 		return nil, nil, &unsentError{err}
 	}
 	c.limit.N = headMost + bodyMost
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("after %d bytes of an answer: %w", headMost+bodyMost-c.limit.N, err)
+		}
+	}()
 	for { // interim answers come before the one that counts
 		if response, err = http.ReadResponse(c.reader, &http.Request{Method: m.method}); err != nil {
 			return nil, nil, err
