Do not hold reports late for attempts on their way or with stalled answers

Cause: the module doubts all load reports once a tenth of them count fewer requests than it has out there itself, and then goes by averages.

Now only attempts count that were sent more than 20 ms or five round trips ago and less than an aim ago.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -126,7 +126,7 @@
 		expected: b.predict(now, e, r.work), factor: r.work * b.crowding(e), out: true, mayRun: true})
 	r.out++
 	e.inflight++
-	e.sentAt = now
+	e.sentAt = append(e.sentAt, now)
 	b.sentWork.add(now, r.work)
 	b.out.Send(r.ID, e.ID, 0)
 	if len(r.attempts) == 1 {
@@ -303,7 +303,8 @@
 	paceWeight   = 0.03
 	fleetWeight  = 0.02
 	workWeight   = 0.01
-	settleTrips  = 5.0  // round trips after which a send has surely arrived
+	settleTrips  = 5.0  // round trips after which a send has surely arrived,
+	settleLeast  = 20e3 // with a handshake before it, and in the report
 	othersWeight = 0.05 // of the delay that a send is to those already there: among equals less load goes first
 	zoneWeight   = 2.0  // aims of latency that a crossing's price counts as
 	cores        = 2.0  // requests that an endpoint works at side by side, assumed
@@ -462,9 +463,10 @@
 		}
 	}
 	b.heard(now, e)
-	// An answer that counts fewer than we alone have there is late, unless some are
-	// still on their way. If that happens often, the pool misleads: averages serve then.
-	if own := e.inflight; hasHeld && own > 0 && float64(now-e.sentAt) > settleTrips*b.ways[e.Zone].v {
+	// An answer that counts fewer than we alone have there is late. If that happens often, the pool misleads:
+	// averages serve then. What may still be on its way there, or stand still after its end, tells nothing.
+	arrived := now - max(settleLeast, Micros(settleTrips*b.ways[e.Zone].v))
+	if own := e.sentWithin(now-b.s.Classes[0].Aim, arrived); hasHeld && own > 0 {
 		b.lag.add(share(held+0.5 < float64(own)), shareWeight)
 		if b.lag.v > lagMost && !b.reportsLate || b.lag.v < lagMost/3 && b.reportsLate {
 			b.reportsLate = !b.reportsLate
@@ -720,8 +722,8 @@
 		c.since++
 		if !first || c.since < b.passOf || now-c.passed < forcedPass {
 			b.log(now, "refuse", "refusing, %.0f%% of late: the best, endpoint %d, would take %.0f ms, limit %.0f ms"+
-				"; load %.1f, usual %.1f, slowdown %.1f",
-				100*b.refused.v, e.ID, x/1000, most/1000, b.load(e), b.usual.v, b.slowdown())
+				"; load %.1f, usual %.1f, slowdown %.1f, work %.1f ms",
+				100*b.refused.v, e.ID, x/1000, most/1000, b.load(e), b.usual.v, b.slowdown(), r.work/1000)
 			return false
 		}
 		c.passed, c.since = now, 0
@@ -832,7 +834,7 @@
 	a := &r.attempts[o.Attempt]
 	a.out = false
 	r.out--
-	a.ep.inflight--
+	a.ep.settled(a.at)
 	if o.Status == Full || o.Status == ConnectFailed || o.Status == Moot {
 		a.mayRun = false
 	}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -98,8 +98,8 @@
 	room     float64 // work that it may still get while cold
 	roomAt   Micros
 
-	inflight int    // own attempts without outcome
-	sentAt   Micros // latest own send
+	inflight int      // own attempts without outcome
+	sentAt   []Micros // when they were sent, in order
 	probing  bool
 	probedAt Micros
 	hasLoad  bool
@@ -231,6 +231,21 @@
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.ep == e })
 }
 
+// settled ends the count of an attempt that was sent at an instant.
+func (e *endpoint) settled(at Micros) {
+	e.inflight--
+	if i, ok := slices.BinarySearch(e.sentAt, at); ok {
+		e.sentAt = slices.Delete(e.sentAt, i, i+1)
+	}
+}
+
+// sentWithin counts the own attempts in flight that were sent in a span of time.
+func (e *endpoint) sentWithin(from, to Micros) int {
+	first, _ := slices.BinarySearch(e.sentAt, from)
+	end, _ := slices.BinarySearch(e.sentAt, to)
+	return max(0, end-first)
+}
+
 func (k *breaker) slide(now Micros) *bucket {
 	n := now / (window / buckets)
 	if n-k.head >= buckets {
