Learn a class's work only where no queue was assumed

Cause: without hints, work is learned from latencies divided by the crowding assumed when sent, and a probe's wait is told as a queue by that work. On real sockets a probe takes some ms more than the quickest one by chance.

The comment already says that work is the latency without a queue; now only such samples are taken.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -902,8 +902,9 @@
 	if atLeast {
 		return
 	}
-	if !r.HasHint {
-		// Without hints a class's work is its mean latency on an endpoint without a queue.
+	if !r.HasHint && a.factor <= r.work {
+		// Without hints a class's work is its mean latency on an endpoint without a queue. Elsewhere it would be
+		// learned by the queue assumed there, which is itself told by work: the two would feed each other.
 		b.classes[r.Class].work.add(x*r.work, workWeight)
 	}
 	if !e.isCold {
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -133,6 +133,25 @@
 	}
 }
 
+// Latencies on endpoints wrongly held to be busy say nothing of a class's work: each would make it less, and so
+// the queue that a probe's wait tells the longer.
+func TestWorkIsNotLearnedByAnAssumedQueue(t *testing.T) {
+	b, r := start(t, testSettings(), ready(1))
+	before := b.classes[0].work.v
+	for i := range uint64(200) {
+		now := second + Micros(i)*10_000
+		b.Probed(now, 1, OK, 500, []float32{0}) // the way there
+		b.Probed(now, 1, OK, 500+Micros(before/2), []float32{0}) // slow, though nothing is held
+		b.Request(now, request0(i, 0, now))
+		if n := len(r.sends); n > 0 && r.sends[n-1].id == i {
+			b.Outcome(now+5000, Outcome{ID: i, Endpoint: 1, Status: OK, Latency: Micros(before), Settled: true})
+		}
+	}
+	if got := b.classes[0].work.v; got < before*0.9 || len(r.sends) < 100 {
+		t.Errorf("work of %.0f us is held to be %.0f after %d answers that took as long", before, got, len(r.sends))
+	}
+}
+
 // A wrong guess of a class's work must not refuse that class for ever; but a pass a second at each of a
 // thousand quiet balancers would keep a jammed fleet jammed.
 func TestLatenessRefusalLetsFewPass(t *testing.T) {
