Forget a request that a timer or a probe's answer refuses

Cause: the ledger let go of a request in the events that end it, but a request held for probes is refused from a timer or a probe's answer, and stayed for good with its body. Ruled out: attempts without outcome (as many outcomes as sends in the log).

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -166,6 +166,7 @@
 	if r != nil && !r.over {
 		r.over = true
 		r.answer <- a // it has room for the one
+		l.forget(r)   // a refusal may come of a timer or a probe, with no attempt to follow
 	}
 }
 
--- /dev/null
+++ b/internal/sidecar/loop_test.go
@@ -0,0 +1,50 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	"peatpost/balancer"
+)
+
+// postponer holds every request back and refuses it on a timer, as the balancer
+// does with one that waited for probes in vain.
+type postponer struct {
+	decider
+	loop *loop
+}
+
+func (p *postponer) Request(_ balancer.Micros, in balancer.Request) { p.loop.Timer(1, uint32(in.ID)) }
+func (p *postponer) Timer(_ balancer.Micros, token uint32)          { p.loop.Refuse(uint64(token), 0) }
+func (p *postponer) Start(balancer.Micros)                          {}
+
+// The ledger forgets a request that is refused without an attempt, whichever
+// event the refusal comes of: else its body stays in memory for good.
+func TestLedgerForgetsWhatATimerRefuses(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	l, err := newLoop(ctx, configure(t, "127.0.0.1:1", nil), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.balancer = &postponer{decider: l.balancer, loop: l}
+	go l.run()
+	r := &request{answer: make(chan answer, 1)}
+	l.post(func(now balancer.Micros) { l.take(now, r, balancer.Request{Deadline: now + 1e9}) })
+	select {
+	case a := <-r.answer:
+		if a.code != http.StatusServiceUnavailable {
+			t.Errorf("answer %d, want a refusal", a.code)
+		}
+	case <-time.After(patience):
+		t.Fatal("no answer comes")
+	}
+	left := make(chan int)
+	l.post(func(balancer.Micros) { left <- len(l.requests) })
+	if n := <-left; n != 0 {
+		t.Errorf("%d requests stay in the ledger", n)
+	}
+}
