--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -140,7 +140,7 @@
 	before := b.classes[0].work.v
 	for i := range uint64(200) {
 		now := second + Micros(i)*10_000
-		b.Probed(now, 1, OK, 500, []float32{0}) // the way there
+		b.Probed(now, 1, OK, 500, []float32{0})                  // the way there
 		b.Probed(now, 1, OK, 500+Micros(before/2), []float32{0}) // slow, though nothing is held
 		b.Request(now, request0(i, 0, now))
 		if n := len(r.sends); n > 0 && r.sends[n-1].id == i {
--- a/cmd/pinedale/main.go
+++ b/cmd/pinedale/main.go
@@ -23,6 +23,9 @@
 }
 
 func run() error {
+	// Before all else: a signal that comes early must not end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	path := os.Getenv("BALANCER_CONFIG")
 	if path == "" {
 		return fmt.Errorf("environment: BALANCER_CONFIG is not set")
@@ -37,5 +40,29 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("sidecar", cfg.Name)
-	return sidecar.Run(ctx, cfg, log)
+	reloads := make(chan *sidecar.Config)
+	go reload(ctx, path, hangups, reloads, log)
+	return sidecar.Run(ctx, cfg, reloads, log)
+}
+
+// reload reads the configuration anew at each SIGHUP. One that cannot be used is
+// logged, and the old one stays.
+func reload(ctx context.Context, path string, hangups <-chan os.Signal, reloads chan<- *sidecar.Config, log *slog.Logger) {
+	for {
+		select {
+		case <-hangups:
+		case <-ctx.Done():
+			return
+		}
+		cfg, err := sidecar.LoadConfig(path)
+		if err != nil {
+			log.Error("the configuration cannot be reloaded", "error", err)
+			continue
+		}
+		select {
+		case reloads <- cfg:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
--- a/cmd/pinedale/main_test.go
+++ b/cmd/pinedale/main_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -78,6 +80,70 @@
 	}
 }
 
+// agent is a discovery service that tells when it is first called, and always
+// answers with an empty change.
+func agent(t *testing.T) (address string, called <-chan string) {
+	t.Helper()
+	calls := make(chan string, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case calls <- r.URL.RawQuery:
+		default:
+		}
+		if r.FormValue("wait_ms") > "0" {
+			<-r.Context().Done()
+		}
+		io.WriteString(w, `{"seq":1,"whole":false,"hosts":[]}`)
+	}))
+	t.Cleanup(server.CloseClientConnections)
+	return server.Listener.Addr().String(), calls
+}
+
+// SIGHUP makes the program read its configuration anew: it turns to the address
+// of discovery there, asks for the whole list, and serves on. A file that cannot
+// be used changes nothing.
+func TestSIGHUPMovesDiscovery(t *testing.T) {
+	first, firstCalled := agent(t)
+	second, secondCalled := agent(t)
+	listen := freeAddress(t)
+	text := strings.Replace(config(listen), "127.0.0.1:1", first, 1)
+	text = strings.Replace(text, `"subscribe"`, `"automatic"`, 1)
+	cmd := command(t, text)
+	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "BALANCER_CONFIG=")
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	await := func(called <-chan string) string {
+		t.Helper()
+		select {
+		case query := <-called:
+			return query
+		case <-time.After(20 * time.Second):
+			t.Fatal("discovery is not called")
+			return ""
+		}
+	}
+	await(firstCalled)
+	for _, replacement := range []string{`{"discovery":"`, strings.Replace(text, first, second, 1)} {
+		if err := os.WriteFile(path, []byte(replacement), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if query := await(secondCalled); query != "" {
+		t.Errorf("the first call of the new address asks %q, want the whole list", query)
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("the program ended with %v, want exit code 0", err)
+	}
+}
+
 func TestStartsAndEndsOnSIGTERM(t *testing.T) {
 	listen := freeAddress(t)
 	cmd := command(t, config(listen))
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -1,54 +1,110 @@
 package sidecar
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
-// clients keeps the connections that clients hold, by state.
+// restLeast is how long a connection must have stood between requests before
+// the sidecar may close it for want of room.
+const restLeast = 2 * time.Second
+
+// clients keeps the connections that clients hold, and bounds their number.
 type clients struct {
+	most int
+
 	mu       sync.Mutex
-	conns    map[net.Conn]http.ConnState
+	rest     time.Duration // restLeast, but for tests
+	conns    map[net.Conn]*client
 	accepted int // since the start
 }
 
+// client is one connection from a client.
+type client struct {
+	state  http.ConnState
+	since  time.Time // it has been in that state
+	proper bool      // a whole proper request has come on it
+}
+
+type clientKey struct{}
+
+func newClients(most int) *clients {
+	return &clients{most: most, rest: restLeast, conns: map[net.Conn]*client{}}
+}
+
+// name is the HTTP server's hook that lets a handler name its connection.
+func (c *clients) name(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, clientKey{}, conn)
+}
+
 // note is the HTTP server's hook for a connection's change of state.
 func (c *clients) note(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		c.conns[conn] = state
 		c.accepted++
+		c.conns[conn] = &client{state: state, since: time.Now()}
+		if len(c.conns) > c.most {
+			c.evict(conn)
+		}
 	case http.StateClosed, http.StateHijacked:
 		delete(c.conns, conn)
 	default:
-		c.conns[conn] = state
+		if k := c.conns[conn]; k != nil { // else it was evicted meanwhile
+			k.state, k.since = state, time.Now()
+		}
 	}
 }
 
-// open counts the connections.
-func (c *clients) open() int {
+// evict closes the connection that can best be spared: the oldest on which no
+// proper request has come yet, or else the one at rest for longest, but not the
+// newcomer, which is owed an answer. It holds c.mu. Without it, peers that say
+// nothing would leave no descriptor to accept a client with.
+func (c *clients) evict(newcomer net.Conn) {
+	var victim net.Conn
+	var least *client
+	for conn, k := range c.conns {
+		if conn == newcomer || k.proper && (k.state != http.StateIdle || time.Since(k.since) < c.rest) {
+			continue
+		}
+		if least == nil || !k.proper && least.proper || k.proper == least.proper && k.since.Before(least.since) {
+			victim, least = conn, k
+		}
+	}
+	if victim != nil {
+		victim.Close()
+		delete(c.conns, victim)
+	}
+}
+
+// proper marks the connection of a handler's context as one of the application's.
+func (c *clients) proper(ctx context.Context) {
+	conn, _ := ctx.Value(clientKey{}).(net.Conn)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.conns)
+	if k := c.conns[conn]; k != nil {
+		k.proper = true
+	}
 }
 
-// total counts the connections accepted since the start.
-func (c *clients) total() int {
+// open counts the connections.
+func (c *clients) open() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.accepted
+	return len(c.conns)
 }
 
-// states counts the connections that have sent nothing yet, those with a
-// request in hand and those between requests.
-func (c *clients) states() (fresh, active, idle int) {
+// counts tells how many connections were accepted so far, and how many of the
+// open ones have sent nothing yet, have a request in hand or are at rest.
+func (c *clients) counts() (accepted, fresh, active, idle int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, state := range c.conns {
-		switch state {
+	for _, k := range c.conns {
+		switch k.state {
 		case http.StateNew:
 			fresh++
 		case http.StateActive:
@@ -57,5 +113,5 @@
 			idle++
 		}
 	}
-	return fresh, active, idle
+	return c.accepted, fresh, active, idle
 }
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -16,13 +16,16 @@
 const (
 	watchWait    = 20 * time.Second // a watch call is held so long without news
 	listPatience = 4 * time.Second  // beyond that: discovery works through calls in turn
-	listMost     = 8 << 20          // bytes of a list
+	// News counts as told 2 s after a wait's end, whether the answer has come or
+	// not: by then the list has been asked for again.
+	waitPatience = time.Second
+	listMost     = 8 << 20 // bytes of a list
 
 	// A watch ends when its next call comes later than 200 ms after the last
 	// answer; calls without any pause could become a flood.
 	watchPause = 20 * time.Millisecond
 	// Where lists are pushed the balancer never asks: the watch begins again by itself.
-	pushedPause = time.Second
+	pushedPause = 500 * time.Millisecond
 )
 
 // registry is a list of endpoints, or of changes, in discovery's form.
@@ -77,19 +80,24 @@
 
 // discovery calls the service that lists endpoints.
 type discovery struct {
-	url    string
-	client http.Client
+	address string
+	url     string
+	client  http.Client
 }
 
 func newDiscovery(address string) *discovery {
-	return &discovery{url: "http://" + address + "/registry/instances",
+	return &discovery{address: address, url: "http://" + address + "/registry/instances",
 		client: http.Client{Transport: &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2}}}
 }
 
 // list makes one call. With after it asks for what is newer than that version,
 // which may be 0, and waits for news as long as wait; without, for the whole list.
 func (d *discovery) list(ctx context.Context, after *uint64, wait time.Duration) (registry, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+listPatience)
+	patience := listPatience
+	if wait > 0 {
+		patience = wait + waitPatience
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	url := d.url
 	if after != nil {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -59,6 +59,7 @@
 	ids       map[string]uint32 // by host name; numbers count from 1
 	targets   map[uint32]*target
 	seq       *uint64 // version of the last list, if there was any
+	watching  bool    // the balancer wants the list watched
 	stopWatch context.CancelFunc
 }
 
@@ -155,6 +156,8 @@
 	}
 	if res.status == balancer.OK {
 		l.finish(r, answer{code: http.StatusOK, header: res.header, body: res.body})
+	} else if res.fault != 0 {
+		l.finish(r, answer{code: res.fault})
 	}
 	o.Settled = r.over
 	l.balancer.Outcome(now, o)
@@ -292,12 +295,12 @@
 // Watch begins to watch discovery's list, from the last version on, or ends it.
 func (l *loop) Watch(on bool) {
 	l.stopWatch()
-	if !on {
+	if l.watching = on; !on {
 		return
 	}
 	ctx, stop := context.WithCancel(l.ctx)
 	l.stopWatch = stop
-	seq := l.seq
+	seq, disc := l.seq, l.disc
 	tell := func(kind balancer.ListKind, list registry) {
 		l.post(func(now balancer.Micros) {
 			if ctx.Err() == nil { // else the watch was ended meanwhile
@@ -308,7 +311,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			var err error
-			seq, err = l.disc.watch(ctx, seq, tell)
+			seq, err = disc.watch(ctx, seq, tell)
 			if ctx.Err() == nil {
 				l.log.Warn("discovery", "error", err)
 			}
@@ -320,5 +323,33 @@
 	}()
 }
 
+// follow takes new configurations until the loop's context ends.
+func (l *loop) follow(reloads <-chan *Config) {
+	for {
+		select {
+		case cfg := <-reloads:
+			l.post(func(balancer.Micros) {
+				if cfg.Discovery != l.disc.address {
+					l.rediscover(cfg.Discovery)
+				}
+			})
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// rediscover turns to discovery at another address. Its versions may not be the
+// old one's: the watch begins with the whole list.
+func (l *loop) rediscover(address string) {
+	l.log.Info("discovery moves", "from", l.disc.address, "to", address)
+	old := l.disc
+	l.disc, l.seq = newDiscovery(address), nil
+	if l.watching {
+		l.Watch(true)
+	}
+	old.client.CloseIdleConnections()
+}
+
 // Log records a line of the balancer's.
 func (l *loop) Log(line string) { l.log.Info(line) }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -35,15 +35,16 @@
 	http    http.Server
 	classes map[string]uint8
 	tenants map[string]uint16
-	most    int // connections
-	clients clients
+	clients *clients
 	ending  atomic.Bool
 
 	acceptFor time.Duration // after SIGTERM
 }
 
-// Run serves until ctx ends, then answers what it has taken and returns.
-func Run(ctx context.Context, cfg *Config, log *slog.Logger) error {
+// Run serves until ctx ends, then answers what it has taken and returns. Each
+// configuration from reloads replaces the address of discovery; all else in it
+// holds from a start on only.
+func Run(ctx context.Context, cfg *Config, reloads <-chan *Config, log *slog.Logger) error {
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -56,6 +57,7 @@
 		listener.Close()
 		return err
 	}
+	go l.follow(reloads)
 	return newServer(l).serve(ctx, listener)
 }
 
@@ -77,8 +79,8 @@
 }
 
 func newServer(l *loop) *server {
-	s := &server{loop: l, classes: map[string]uint8{}, tenants: map[string]uint16{}, most: connections(l.cfg),
-		clients: clients{conns: map[net.Conn]http.ConnState{}}, acceptFor: acceptAfter}
+	s := &server{loop: l, classes: map[string]uint8{}, tenants: map[string]uint16{},
+		clients: newClients(connections(l.cfg)), acceptFor: acceptAfter}
 	for i, c := range l.cfg.Settings.Classes {
 		s.classes[c.Name] = uint8(i)
 	}
@@ -95,7 +97,7 @@
 	}
 	s.http = http.Server{Handler: http.HandlerFunc(handler), ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		WriteTimeout: timeLeftMost + writeTimeout, MaxHeaderBytes: headMost, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn),
-		ConnState: s.clients.note}
+		ConnState: s.clients.note, ConnContext: s.clients.name}
 	return s
 }
 
@@ -116,9 +118,9 @@
 
 // holds logs the counts. The loop runs it.
 func (s *server) holds(balancer.Micros) {
-	fresh, active, idle := s.clients.states()
+	accepted, fresh, active, idle := s.clients.counts()
 	open, spare := s.loop.up.connections()
-	s.loop.log.Info("holds", "taken", s.loop.lastID, "accepted", s.clients.total(), "clients_new", fresh, "clients_active", active, "clients_idle", idle,
+	s.loop.log.Info("holds", "taken", s.loop.lastID, "accepted", accepted, "clients_new", fresh, "clients_active", active, "clients_idle", idle,
 		"upstream_open", open, "upstream_idle", spare, "requests", len(s.loop.requests),
 		"events", len(s.loop.events), "goroutines", runtime.NumGoroutine())
 }
@@ -166,7 +168,7 @@
 // request takes one request and gives its one final answer.
 func (s *server) request(w http.ResponseWriter, in *http.Request) {
 	arrived := s.loop.clock.now()
-	if s.clients.open() > s.most {
+	if s.clients.open() > s.clients.most {
 		// Beyond this the process runs out of descriptors, and then it can
 		// neither accept nor send.
 		w.Header().Set("Connection", "close")
@@ -187,9 +189,11 @@
 		http.Error(w, err.reason, err.code)
 		return
 	}
+	s.clients.proper(in.Context())
 	// From here on a read only watches for the client's going, however long the
 	// answer takes.
 	control := http.NewResponseController(w)
+	s.clients.proper(in.Context())
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		panic(http.ErrAbortHandler) // the connection is gone
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -105,6 +105,22 @@
 	}
 }
 
+// A request that an endpoint finds fault with fails at once, is sent nowhere
+// else, and is not held against the endpoint.
+func TestFaultyRequestIsNotTheEndpointsFailure(t *testing.T) {
+	e := newEndpoint(t, always("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"))
+	w := start(t, nil, ready("s-1", e.address), ready("s-2", e.address))
+	if got := w.send(w.request("pay", "x", time.Minute)); got.code != http.StatusBadRequest {
+		t.Errorf("answer %+v, want the endpoint's 400", got)
+	}
+	w.until("the outcome", func() bool { return len(w.spy.statuses()) > 0 })
+	w.spy.mu.Lock()
+	defer w.spy.mu.Unlock()
+	if o := w.spy.outcomes; len(o) != 1 || o[0].Status != balancer.Cancelled || !o[0].Settled {
+		t.Errorf("outcomes %+v, want one, cancelled and settled", o)
+	}
+}
+
 // The final answer to a request whose endpoint keeps silent comes before the
 // client's time is up. The balancer learns of a time-out, also where its own
 // timer for the same instant calls the attempt off first.
@@ -443,13 +459,22 @@
 func TestConnectionsOfClientsAreBounded(t *testing.T) {
 	e := newEndpoint(t, always(served))
 	w := start(t, nil, ready("s-1", e.address))
+	w.server.clients.mu.Lock()
+	w.server.clients.rest = time.Hour
+	w.server.clients.mu.Unlock()
 	var held []net.Conn
 	for range w.server.clients.most {
 		conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
 		if err != nil {
 			t.Fatal(err)
 		}
+		defer conn.Close()
 		held = append(held, conn)
+		w.request("read", "", time.Minute).Write(conn)
+		conn.SetReadDeadline(time.Now().Add(patience))
+		if answer, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || answer.StatusCode != 200 {
+			t.Fatalf("within the limit: %v, %v", answer, err)
+		}
 	}
 	got := w.send(w.request("read", "", 3*time.Second))
 	if got.code != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
@@ -458,9 +483,6 @@
 	for _, conn := range held {
 		conn.Close()
 	}
-	w.server.clients.mu.Lock()
-	w.server.clients.rest = time.Hour
-	w.server.clients.mu.Unlock()
 	w.until("the connections to end", func() bool { return w.server.clients.open() == 0 })
 	if got := w.send(w.request("read", "", 3*time.Second)); got.code != http.StatusOK {
 		t.Errorf("with room again: %+v", got)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -75,6 +75,7 @@
 	body   []byte
 	load   []float32
 	took   time.Duration // from the write to the end, without the time to connect
+	fault  int           // the code by which the endpoint found fault with the request itself, or 0
 	err    error         // why there is no whole answer, for the log
 }
 
@@ -126,6 +127,10 @@
 		case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
 			response.Header.Get("X-Unprocessed") == "1":
 			r.status = balancer.Full
+		case code == http.StatusBadRequest || code == http.StatusNotFound:
+			// It would be the same everywhere, and says nothing of the endpoint's
+			// health: told as an error, one bad client could have all ejected.
+			r.status, r.fault = balancer.Cancelled, code
 		}
 	}
 	return r
