--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -193,7 +193,6 @@
 	// From here on a read only watches for the client's going, however long the
 	// answer takes.
 	control := http.NewResponseController(w)
-	s.clients.proper(in.Context())
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		panic(http.ErrAbortHandler) // the connection is gone
 	}
