Let answers of one batch move the trend to their ratio, not each as far again

Cause: each answer multiplied the trend by its latency over what was predicted when it was sent. Requests sent before the trend moved repeat the same news: eight answers four times too slow make it 8, the most there is, and 100 that are twice as slow do so too. Then everything looks five times too slow and is refused.

An answer is now compared with what is expected by the time it comes.

Ruled out: load (1 to 4 in reports while refusing), CPU (0.2 of 0.25 cores, the same in good stretches), descriptors (205 of 256).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -123,7 +123,8 @@
 		e.room -= r.work * coldCharge
 	}
 	r.attempts = append(r.attempts, attempt{ep: e, zone: e.Zone, cell: e.Cell, at: now,
-		expected: b.predict(now, e, r.work), factor: r.work * b.crowding(e), out: true, mayRun: true})
+		expected: b.predict(now, e, r.work) / b.slowdown(), factor: r.work * b.crowding(e),
+		out: true, mayRun: true})
 	r.out++
 	e.inflight++
 	e.sentAt = append(e.sentAt, now)
@@ -890,7 +891,7 @@
 	if atLeast && x <= e.paceNow(now, b) {
 		return
 	}
-	b.follow(latency / a.expected)
+	b.follow(latency / (a.expected * b.slowdown()))
 	if !atLeast && r.hint != 0 && x > 0 {
 		// Rough hints overstate the large and understate the small: learn how far they tell.
 		b.trust = min(1, max(0, b.trust+trustWeight*r.hint*math.Log(x/e.paceNow(now, b))))
@@ -913,7 +914,8 @@
 }
 
 // follow shifts what is expected of every endpoint by one outcome: when the whole fleet turns slow, or
-// recovers, the paces of endpoints that see little of our traffic are learned far too late.
+// recovers, the paces of endpoints that see little of our traffic are learned far too late. The ratio is to
+// what is expected by now: requests sent before the trend moved must not each move it as far again.
 func (b *Balancer) follow(ratio float64) {
 	b.trend = min(trendMost, max(1/trendMost, b.trend*(1+trendWeight*(min(ratio, trendStep)-1))))
 }
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -492,6 +492,24 @@
 	}
 }
 
+// Many requests sent at one time that take twice as long as expected make the trend twice as high, not as many
+// times: each tells the same.
+func TestTrendCountsABatchOnce(t *testing.T) {
+	b, r := start(t, testSettings(), ready(1))
+	b.classes[0].work.v = 1000
+	for i := range uint64(100) {
+		b.Request(second, request0(i, 0, second))
+	}
+	slow := Micros(2 * b.requests[50].attempts[0].expected)
+	for i := range uint64(100) {
+		a := b.requests[i].attempts[0]
+		b.Outcome(second+slow, Outcome{ID: i, Endpoint: a.ep.ID, Status: OK, Latency: Micros(2 * a.expected), Settled: true})
+	}
+	if len(r.sends) != 100 || b.trend > 2*trendNoise {
+		t.Errorf("trend %.1f after %d answers twice as slow as expected, want %.1f at most", b.trend, len(r.sends), 2*trendNoise)
+	}
+}
+
 // A jam that is over must not be refused to for long: as passes are served in time, more follow, until the
 // fleet is known to be well again.
 func TestPassesThatServeEndTheRefusals(t *testing.T) {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -83,7 +83,7 @@
 	zone     uint8 // of ep when sent: an endpoint may move
 	cell     uint16
 	at       Micros
-	expected float64 // latency predicted when sent
+	expected float64 // latency predicted when sent, but for the trend
 	factor   float64 // work times the crowding seen when sent
 	out      bool    // no outcome yet
 	mayRun   bool    // it may have had its effect, or may yet
