Send again what cannot be refused while it can still be in time

Their requests may have run and are bound to their cell, so they cannot be refused: not sending them again loses them.

Ruled out: the retry budget (a fifth of requests, 8% are reset) and the window of 4 s.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -710,6 +710,9 @@
 func (b *Balancer) attempt(now Micros, r *request, first bool) bool {
 	r.value = b.value(now, r)
 	e := b.pick(now, r, nil)
+	if n := len(r.attempts); e == nil && n > 0 && b.maySend(now, r, r.attempts[n-1].ep) {
+		e = r.attempts[n-1].ep // alone in its group: often the connection broke, not the endpoint
+	}
 	if e == nil {
 		return false
 	}
@@ -743,8 +746,10 @@
 func (b *Balancer) room(now Micros, r *request, e *endpoint) float64 {
 	alone := b.ways[e.Zone].v + r.work*b.slowdown()*e.paceNow(now, b)
 	share := max(roomLeast, roomMost*r.value)
-	if b.reportsLate {
-		share = 1 // the least loaded endpoint is not known: averages must not refuse what it would serve
+	if b.reportsLate || !b.mayRefuse(r) {
+		// The least loaded endpoint is not known, and averages must not refuse what it would serve; or nobody
+		// may be told to come back, and what is not sent again is lost.
+		share = 1
 	}
 	spare := float64(b.class(r).Aim) - float64(now-r.arrived) - alone
 	return min(alone+share*spare, float64(r.Deadline-now))
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -492,6 +492,29 @@
 	}
 }
 
+// A request that may have run and whose group is its cell cannot be refused. It is sent again while it can be
+// in time, to its own endpoint if that is alone in its cell: else it is lost.
+func TestWhatCannotBeRefusedIsSentAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		at   Micros // of the reset
+		want int
+	}{
+		"soon":             {2000, 2},
+		"past the usual":   {100_000, 2}, // it would take more than the share of the aim that may be waited
+		"too late by then": {390_000, 1},
+	} {
+		b, r := start(t, testSettings(), ready(1))
+		b.classes[3].work.v = 100_000
+		b.Probed(500, 1, OK, 500, []float32{0})
+		b.Request(1000, request0(1, 3, 1000))
+		b.Probed(c.at-100, 1, OK, 500, []float32{5}) // of which one is ours
+		b.Outcome(c.at, Outcome{ID: 1, Endpoint: 1, Status: Reset, Latency: c.at - 1000})
+		if len(r.sends) != c.want || len(r.failed) != 2-c.want {
+			t.Errorf("%s: %d sends and %d failed, want %d sends", name, len(r.sends), len(r.failed), c.want)
+		}
+	}
+}
+
 // Many requests sent at one time that take twice as long as expected make the trend twice as high, not as many
 // times: each tells the same.
 func TestTrendCountsABatchOnce(t *testing.T) {
