Take operators' calls at an address of their own, and drain by them

No cause to look for: the part was missing.

A drain ends each connection with its next answer. What is at rest is closed after 0.6 s, but for connections on which something waits to be read or has just been read; the same now holds at SIGTERM, which used to close all that was at rest at once, requests on their way included (server.go, drain).

Tests fail without it: TestOperatorsCalls, TestStalledOperatorsCallers, TestDrainAndUndrain, TestDrainEndsWhatIsAtRest.

--- a/cmd/pinedale/main_test.go
+++ b/cmd/pinedale/main_test.go
@@ -58,10 +58,17 @@
 
 func TestBadConfigurationStopsWithOneLine(t *testing.T) {
 	good := config("127.0.0.1:0")
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
 	for name, c := range map[string]struct{ text, key string }{
 		"no seed":         {strings.Replace(good, `"seed"`, `"sed"`, 1), "seed"},
 		"not JSON":        {good[:40], "JSON"},
 		"a class missing": {strings.Replace(good, `"classes"`, `"glasses"`, 1), "classes"},
+		"no ops address":  {strings.Replace(good, `{`, `{"ops":"here",`, 1), "ops"},
+		"ops port taken":  {strings.Replace(good, `{`, fmt.Sprintf(`{"ops":%q,`, taken.Addr()), 1), "ops"},
 	} {
 		cmd := command(t, c.text)
 		out, err := cmd.CombinedOutput()
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,6 +23,32 @@
 	accepted int // since the start
 }
 
+// clientListener wraps what it accepts, so that a connection tells when something was last read from it.
+type clientListener struct{ net.Listener }
+
+// Accept waits for the next client.
+func (l clientListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: conn}, nil
+}
+
+type clientConn struct {
+	net.Conn
+	readAt atomic.Int64 // Unix time in nanoseconds
+}
+
+// Read notes that something has come.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.readAt.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
 // client is one connection from a client.
 type client struct {
 	state  http.ConnState
@@ -81,6 +108,23 @@
 	}
 }
 
+// closeIdle closes the connections at rest for at least so long, but for those on which a request is coming in:
+// the client would have to send it again elsewhere.
+func (c *clients) closeIdle(least time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, k := range c.conns {
+		if k.state != http.StateIdle || time.Since(k.since) < least {
+			continue
+		}
+		if own, ok := conn.(*clientConn); ok && (own.readAt.Load() > k.since.UnixNano() || !quiet(own.Conn)) {
+			continue
+		}
+		conn.Close()
+		delete(c.conns, conn)
+	}
+}
+
 // proper marks the connection of a handler's context as one of the application's.
 func (c *clients) proper(ctx context.Context) {
 	conn, _ := ctx.Value(clientKey{}).(net.Conn)
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -24,6 +25,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Ops       string // where operators call; empty where nobody does
 	Seed      uint64
 	Limits    Limits
 	Settings  balancer.Settings
@@ -66,6 +68,7 @@
 		Name       string          `json:"name"`
 		Listen     string          `json:"listen"`
 		Discovery  string          `json:"discovery"`
+		Ops        string          `json:"ops"`
 		Seed       string          `json:"seed"`
 		Limits     Limits          `json:"limits"`
 		Known      registry        `json:"known"`
@@ -77,7 +80,11 @@
 	if err := json.Unmarshal(data, &file); err != nil {
 		return nil, err
 	}
-	for _, a := range [...]struct{ key, value string }{{"listen", file.Listen}, {"discovery", file.Discovery}} {
+	ops := cmp.Or(os.Getenv("BALANCER_OPS"), file.Ops)
+	for _, a := range [...]struct{ key, value string }{{"listen", file.Listen}, {"discovery", file.Discovery}, {"ops", ops}} {
+		if a.key == "ops" && a.value == "" {
+			continue // no operators' address
+		}
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
 			return nil, fmt.Errorf("%s: %q is not host:port", a.key, a.value)
 		}
@@ -95,7 +102,7 @@
 	if err := file.Known.validate(); err != nil {
 		return nil, fmt.Errorf("known: %w", err)
 	}
-	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery,
+	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Ops: ops,
 		Seed: seed, Limits: file.Limits, known: file.Known}
 	if cfg.peerListen, err = peerAddress("peer_listen", file.PeerListen); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/sidecar/ops.go
@@ -0,0 +1,87 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	opsMost     = 16              // connections of operators at once
+	opsTimeout  = 2 * time.Second // for a whole call, and for its answer
+	opsBodyMost = 1 << 10         // bytes of a call's body
+)
+
+// operators answers operators' calls at an address of their own.
+type operators struct {
+	server  *server
+	log     *slog.Logger
+	http    http.Server
+	callers *clients
+}
+
+// listenToOperators opens the operators' address of a configuration that has one.
+func listenToOperators(cfg *Config) (net.Listener, error) {
+	listener, err := net.Listen("tcp", cfg.Ops)
+	if err != nil {
+		return nil, fmt.Errorf("ops: %w", err)
+	}
+	return listener, nil
+}
+
+func newOperators(s *server) *operators {
+	o := &operators{server: s, log: s.loop.log, callers: newClients(opsMost)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", o.ready)
+	mux.HandleFunc("POST /drain", o.drain(true))
+	mux.HandleFunc("POST /undrain", o.drain(false))
+	handler := func(w http.ResponseWriter, in *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, opsBodyMost))
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			http.Error(w, fmt.Sprintf("the body is over %d bytes", opsBodyMost), http.StatusRequestEntityTooLarge)
+			return
+		} else if err != nil {
+			http.Error(w, "the body could not be read", http.StatusBadRequest)
+			return
+		}
+		in.Body = io.NopCloser(bytes.NewReader(body))
+		o.callers.proper(in.Context()) // only a whole call keeps its connection when room is short
+		mux.ServeHTTP(w, in)
+	}
+	o.http = http.Server{Handler: http.HandlerFunc(handler), ReadTimeout: opsTimeout, WriteTimeout: opsTimeout,
+		MaxHeaderBytes: headMost, ErrorLog: slog.NewLogLogger(o.log.Handler(), slog.LevelWarn),
+		ConnState: o.callers.note, ConnContext: o.callers.name}
+	o.http.SetKeepAlivesEnabled(false)
+	return o
+}
+
+// serve answers calls until ctx ends.
+func (o *operators) serve(ctx context.Context, listener net.Listener) {
+	stop := context.AfterFunc(ctx, func() { o.http.Close() })
+	defer stop()
+	if err := o.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		o.log.Error("operators' address", "error", err)
+	}
+}
+
+// ready says whether this process serves clients, be it told to send them away or not.
+func (o *operators) ready(w http.ResponseWriter, in *http.Request) {
+	if !o.server.serves() {
+		http.Error(w, "not serving", http.StatusServiceUnavailable)
+	}
+}
+
+// drain answers a call that sends clients away or takes them again.
+func (o *operators) drain(on bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, in *http.Request) {
+		o.server.setDrained(on)
+		o.log.Info("operators' call", "path", in.URL.Path, "from", in.RemoteAddr)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/ops_test.go
@@ -0,0 +1,183 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// operate opens an operators' address for a running sidecar and returns what calls it.
+func (w *world) operate() func(method, path, body string) int {
+	w.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	w.t.Cleanup(stop)
+	go newOperators(w.server).serve(ctx, listener)
+	w.ops = listener.Addr().String()
+	return func(method, path, body string) int {
+		w.t.Helper()
+		r, err := http.NewRequest(method, "http://"+w.ops+path, strings.NewReader(body))
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		got := w.send(r)
+		if got.err != nil {
+			w.t.Fatalf("%s %s: %v", method, path, got.err)
+		}
+		return got.code
+	}
+}
+
+func TestOperatorsCalls(t *testing.T) {
+	w := start(t, nil, ready("s-1", newEndpoint(t, always(served)).address))
+	call := w.operate()
+	for _, c := range []struct {
+		method, path, body string
+		code               int
+	}{
+		{"GET", "/ready", "", 200},
+		{"POST", "/ready", "", 405},
+		{"GET", "/drain", "", 405},
+		{"GET", "/health/ready", "", 404},
+		{"POST", "/drain", strings.Repeat("x", opsBodyMost+1), 413},
+	} {
+		if code := call(c.method, c.path, c.body); code != c.code {
+			t.Errorf("%s %s: %d, want %d", c.method, c.path, code, c.code)
+		}
+		if w.server.drained.Load() {
+			t.Fatalf("%s %s changed something", c.method, c.path)
+		}
+	}
+}
+
+// Callers that send no whole call are ended, and never keep others out.
+func TestStalledOperatorsCallers(t *testing.T) {
+	w := start(t, nil, ready("s-1", newEndpoint(t, always(served)).address))
+	call := w.operate()
+	var stalled []net.Conn
+	for i := range 2 * opsMost {
+		conn, err := net.Dial("tcp", w.ops)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		io.WriteString(conn, []string{"", "POST /dr", "POST /drain HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc"}[i%3])
+		stalled = append(stalled, conn)
+	}
+	if code := call("GET", "/ready", ""); code != 200 {
+		t.Errorf("beside stalled callers: %d, want 200", code)
+	}
+	for _, conn := range stalled {
+		conn.SetReadDeadline(time.Now().Add(patience))
+		if _, err := io.Copy(io.Discard, conn); err != nil && !strings.Contains(err.Error(), "reset") {
+			t.Errorf("a stalled caller: %v, want its end", err)
+		}
+	}
+	if w.server.drained.Load() {
+		t.Error("a call that never came whole was carried out")
+	}
+}
+
+// kept is a client's connection that stays.
+type kept struct {
+	w    *world
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (w *world) keep() *kept {
+	w.t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	return &kept{w, conn, bufio.NewReader(conn)}
+}
+
+// ask sends a request and reads its answer.
+func (k *kept) ask() *http.Response {
+	k.w.t.Helper()
+	k.w.request("read", "", time.Minute).Write(k.conn)
+	response, err := http.ReadResponse(k.in, nil)
+	if err != nil {
+		k.w.t.Fatal(err)
+	}
+	io.Copy(io.Discard, response.Body)
+	return response
+}
+
+func TestDrainAndUndrain(t *testing.T) {
+	w := start(t, nil, ready("s-1", newEndpoint(t, always(served)).address))
+	w.server.acceptFor = time.Minute // connections at rest stay here until they are used
+	call := w.operate()
+	readiness := func() int {
+		r, _ := http.NewRequest("GET", w.url+"/health/ready", nil)
+		return w.send(r).code
+	}
+	one, two := w.keep(), w.keep()
+	one.ask()
+	two.ask()
+	for range 2 { // repeated calls are harmless
+		if code := call("POST", "/drain", ""); code != 200 {
+			t.Fatalf("drain: %d", code)
+		}
+	}
+	if code := readiness(); code != 503 {
+		t.Errorf("readiness while drained: %d, want 503", code)
+	}
+	if code := call("GET", "/ready", ""); code != 200 {
+		t.Errorf("a drained process serves all the same: %d, want 200", code)
+	}
+	if got := one.ask(); got.StatusCode != 200 || !got.Close {
+		t.Errorf("a kept connection in a drain: %d, close %v; want 200 and the end", got.StatusCode, got.Close)
+	}
+	if got := w.keep().ask(); got.StatusCode != 200 || !got.Close {
+		t.Errorf("a new connection in a drain: %d, close %v; want 200 and the end", got.StatusCode, got.Close)
+	}
+	for range 2 {
+		if code := call("POST", "/undrain", ""); code != 200 {
+			t.Fatalf("undrain: %d", code)
+		}
+	}
+	if code := readiness(); code != 200 {
+		t.Errorf("readiness after the drain: %d, want 200", code)
+	}
+	for range 2 {
+		if got := two.ask(); got.StatusCode != 200 || got.Close {
+			t.Errorf("a connection kept over the drain: %d, close %v; want 200 and no end", got.StatusCode, got.Close)
+		}
+	}
+}
+
+// What stays at rest in a drain is ended without a word, but not under a request that is coming in.
+func TestDrainEndsWhatIsAtRest(t *testing.T) {
+	w := start(t, nil, ready("s-1", newEndpoint(t, always(served)).address))
+	w.server.acceptFor = 0
+	call := w.operate()
+	resting, sending := w.keep(), w.keep()
+	resting.ask()
+	sending.ask()
+	w.until("both at rest", func() bool { _, _, _, idle := w.server.clients.counts(); return idle == 2 })
+	var head strings.Builder
+	w.request("read", "", time.Minute).Write(&head)
+	io.WriteString(sending.conn, head.String()[:10])
+	call("POST", "/drain", "")
+	if _, err := resting.in.ReadByte(); err != io.EOF {
+		t.Errorf("a connection at rest: %v, want its end", err)
+	}
+	io.WriteString(sending.conn, head.String()[10:])
+	response, err := http.ReadResponse(sending.in, nil)
+	if err != nil || response.StatusCode != 200 || !response.Close {
+		t.Errorf("a request on its way in: %v, %v; want 200 and the end", response, err)
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -19,7 +19,8 @@
 
 const (
 	answerMargin = 10 * time.Millisecond  // of a client's time, kept for writing the final answer
-	acceptAfter  = 600 * time.Millisecond // after SIGTERM: clients go on connecting for 0.4 s
+	acceptAfter  = 600 * time.Millisecond // after SIGTERM or a drain: clients go on connecting for 0.4 s
+	idleSweep    = 100 * time.Millisecond // between looks for connections at rest while drained
 	socketSpare  = 32                     // descriptors for discovery, logs and the runtime
 	busyRetry    = time.Second            // wait told to clients that find all connections in use
 	timeLeftMost = time.Minute            // that a request gets
@@ -36,9 +37,11 @@
 	classes map[string]uint8
 	tenants map[string]uint16
 	clients *clients
-	ending  atomic.Bool
+	up      atomic.Bool // it takes connections
+	ending  atomic.Bool // after SIGTERM
+	drained atomic.Bool // by an operator
 
-	acceptFor time.Duration // after SIGTERM
+	acceptFor time.Duration // after SIGTERM, or a call to drain
 }
 
 // Run serves until ctx ends, then answers what it has taken and returns. Each
@@ -62,24 +65,61 @@
 		return err
 	}
 	go l.follow(reloads)
-	return newServer(l).serve(ctx, listener)
+	s := newServer(l)
+	if cfg.Ops != "" {
+		calls, err := listenToOperators(cfg)
+		if err != nil {
+			listener.Close()
+			return err
+		}
+		go newOperators(s).serve(loopCtx, calls)
+	}
+	return s.serve(ctx, listener)
 }
 
 // connections is the most that clients may hold, and the most to endpoints:
 // every client's request has one attempt at a time.
-func connections(cfg *Config) int { return (cfg.Limits.Sockets - socketSpare) / 2 }
+func connections(cfg *Config) int {
+	spare := socketSpare
+	if cfg.Ops != "" {
+		spare += opsMost
+	}
+	return (cfg.Limits.Sockets - spare) / 2
+}
 
 func (s *server) serve(ctx context.Context, listener net.Listener) error {
 	go s.loop.run()
 	go s.report(ctx)
 	served := make(chan error, 1)
-	go func() { served <- s.http.Serve(listener) }()
+	go func() { served <- s.http.Serve(clientListener{listener}) }()
+	s.up.Store(true)
 	select {
 	case err := <-served:
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	return s.drain()
+	return s.end()
+}
+
+// serves says whether this process serves clients, be it told to send them away or not.
+func (s *server) serves() bool { return s.up.Load() && s.loop.listed.Load() && !s.ending.Load() }
+
+// leaving says whether clients are to go elsewhere: each answer ends its connection.
+func (s *server) leaving() bool { return s.ending.Load() || s.drained.Load() }
+
+// setDrained sends clients away, or takes them again.
+func (s *server) setDrained(on bool) {
+	if !s.drained.CompareAndSwap(!on, on) || !on {
+		return
+	}
+	go func() {
+		// By then most connections at rest have been used once more, and their clients were told; and no new ones come.
+		time.Sleep(s.acceptFor)
+		for s.drained.Load() && !s.ending.Load() {
+			s.clients.closeIdle(0)
+			time.Sleep(idleSweep)
+		}
+	}()
 }
 
 func newServer(l *loop) *server {
@@ -129,13 +169,12 @@
 		"events", len(s.loop.events), "goroutines", runtime.NumGoroutine())
 }
 
-// drain ends the service without losing a request. Idle connections are closed
-// at once, while a client whose request crosses that can still connect anew;
-// every answer from here on closes its connection.
-func (s *server) drain() error {
+// end ends the service without losing a request. Every answer from here on ends its connection; those still at
+// rest when clients no longer connect are closed.
+func (s *server) end() error {
 	s.ending.Store(true)
-	s.http.SetKeepAlivesEnabled(false)
 	time.Sleep(s.acceptFor)
+	s.clients.closeIdle(0)
 	var longest balancer.Micros
 	for _, c := range s.loop.cfg.Settings.Classes {
 		longest = max(longest, c.GiveUp)
@@ -152,7 +191,7 @@
 // and one that stays would take an application's room.
 func (s *server) ready(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
-	if s.ending.Load() || !s.loop.listed.Load() {
+	if s.leaving() || !s.loop.listed.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -208,6 +247,9 @@
 		if a.code != http.StatusOK {
 			s.ended(in, arrived, a.code)
 		}
+		if s.leaving() {
+			w.Header().Set("Connection", "close")
+		}
 		control.SetWriteDeadline(time.Now().Add(writeTimeout)) // the write tells of a connection that is gone
 		writeAnswer(w, a)
 	case <-in.Context().Done():
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -567,10 +567,6 @@
 	go func() { held <- w.send(w.request("pay", "x", time.Minute)) }()
 	w.until("the request in hand", func() bool { n, _ := e.seen(); return n == 2 })
 	w.stop()
-	idle.SetReadDeadline(time.Now().Add(patience))
-	if _, err := in.ReadByte(); err != io.EOF {
-		t.Errorf("the idle connection: %v, want its end", err)
-	}
 	// New connections are still served, one request each.
 	conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
 	if err != nil {
@@ -589,6 +585,10 @@
 		}
 		return err != nil
 	})
+	idle.SetReadDeadline(time.Now().Add(patience))
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection: %v, want its end", err)
+	}
 	close(answer)
 	if got := <-held; got.code != http.StatusOK || got.body != "done" {
 		t.Errorf("the request in hand: %+v", got)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -218,7 +218,7 @@
 	for list := u.idle[t]; len(list) > 0; list = u.idle[t] {
 		c := list[len(list)-1]
 		u.idle[t] = list[:len(list)-1]
-		if time.Since(c.idleAt) < u.idleMost && c.alive() {
+		if time.Since(c.idleAt) < u.idleMost && quiet(c.Conn) {
 			return c, nil
 		}
 		u.drop(c)
@@ -293,22 +293,24 @@
 	}
 }
 
-// alive says whether an idle connection is open and silent. An endpoint may
-// close it at any time, and a request written after that is lost as a reset
-// that may have run.
-func (c *conn) alive() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+// quiet says whether a connection is open and nothing waits to be read from it. An endpoint may close an idle
+// one at any time, and a request written after that is lost as a reset that may have run.
+func quiet(conn net.Conn) bool {
+	own, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := own.SyscallConn()
 	if err != nil {
 		return false
 	}
-	silent := false
-	err = raw.Read(func(fd uintptr) bool {
+	is := false
+	err = raw.Control(func(fd uintptr) { // not Read: it would wait for one that is reading
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = err == syscall.EAGAIN
-		return true
+		is = err == syscall.EAGAIN
 	})
-	return err == nil && silent
+	return err == nil && is
 }
 
 // exchange writes one request on a connection and reads the whole answer. It
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -216,7 +216,7 @@
 		await(t, "the end of the connection to arrive", func() bool {
 			u.mu.Lock()
 			defer u.mu.Unlock()
-			return len(u.idle[at]) == 0 || !u.idle[at][0].alive()
+			return len(u.idle[at]) == 0 || !quiet(u.idle[at][0].Conn)
 		})
 	}
 }
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -270,6 +270,7 @@
 	server *server
 	spy    *spy
 	dir    *directory
+	ops    string             // address, once operate has opened it
 	stop   context.CancelFunc // as SIGTERM does
 	ended  chan error
 }
