Let a second process take over the clients' address, and share what operators said

Both are opened with SO_REUSEPORT where operators call. Locks on bytes of a file tell that two run; they divide memory and descriptors.

--- a/cmd/pinedale/main.go
+++ b/cmd/pinedale/main.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"peatpost/internal/sidecar"
@@ -34,9 +33,6 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	// The heap stays under the limit at which the platform kills the process,
-	// with room for what the runtime does not count.
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 10 * 8)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("sidecar", cfg.Name)
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +31,10 @@
 // Accept waits for the next client.
 func (l clientListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// Accepting was to end, and nobody waits: one who comes between this and the close is turned back.
+		return nil, errors.Join(net.ErrClosed, l.Close())
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -62,6 +68,20 @@
 	return &clients{most: most, rest: restLeast, conns: map[net.Conn]*client{}}
 }
 
+// bound sets how many connections there may be. Those beyond it are left to end.
+func (c *clients) bound(most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.most = most
+}
+
+// full says whether there are more connections than there may be.
+func (c *clients) full() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns) > c.most
+}
+
 // name is the HTTP server's hook that lets a handler name its connection.
 func (c *clients) name(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, clientKey{}, conn)
@@ -135,13 +155,6 @@
 	}
 }
 
-// open counts the connections.
-func (c *clients) open() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.conns)
-}
-
 // counts tells how many connections were accepted so far, and how many of the
 // open ones have sent nothing yet, have a request in hand or are at rest.
 func (c *clients) counts() (accepted, fresh, active, idle int) {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -53,6 +53,7 @@
 	events chan func(now balancer.Micros)
 	ctx    context.Context // ends with the loop
 	listed atomic.Bool     // endpoints are known
+	told   chan struct{}   // closed once discovery has answered
 	peers  *peers          // nil where there are none to talk to
 
 	// Below: the loop's goroutine alone.
@@ -64,6 +65,7 @@
 	targets   map[uint32]*target
 	seq       *uint64 // version of the last list, if there was any
 	watching  bool    // the balancer wants the list watched
+	answered  bool    // discovery has answered
 	stopWatch context.CancelFunc
 }
 
@@ -90,7 +92,7 @@
 func newLoop(ctx context.Context, cfg *Config, log *slog.Logger) (*loop, error) {
 	l := &loop{
 		cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx,
-		up: newUpstream(cfg, connections(cfg)), disc: newDiscovery(cfg.Discovery),
+		up: newUpstream(cfg, connections(cfg, 1)), told: make(chan struct{}), disc: newDiscovery(cfg.Discovery),
 		events:   make(chan func(balancer.Micros), eventsMost),
 		requests: map[uint64]*request{}, ids: map[string]uint32{}, names: map[uint32]string{}, targets: map[uint32]*target{},
 		stopWatch: func() {},
@@ -211,6 +213,10 @@
 		}
 	}
 	l.listed.Store(len(l.targets) > 0)
+	if kind != balancer.ListCached && !l.answered {
+		l.answered = true
+		close(l.told)
+	}
 	l.balancer.Members(now, kind, entries)
 }
 
--- a/internal/sidecar/ops.go
+++ b/internal/sidecar/ops.go
@@ -78,10 +78,19 @@
 	}
 }
 
+// answer says yes, or why a call was not carried out.
+func (o *operators) answer(w http.ResponseWriter, in *http.Request, err error) {
+	if err != nil {
+		o.log.Error("operators' call not carried out", "path", in.URL.Path, "from", in.RemoteAddr, "error", err)
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	o.log.Info("operators' call", "path", in.URL.Path, "from", in.RemoteAddr)
+}
+
 // drain answers a call that sends clients away or takes them again.
 func (o *operators) drain(on bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, in *http.Request) {
-		o.server.setDrained(on)
-		o.log.Info("operators' call", "path", in.URL.Path, "from", in.RemoteAddr)
+		o.answer(w, in, o.server.change(func(state *shared) { state.Drained = on }))
 	}
 }
--- a/internal/sidecar/ops_test.go
+++ b/internal/sidecar/ops_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -18,6 +19,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	w.server.store = openStore(w.t.TempDir(), "n0", slog.New(slog.DiscardHandler))
 	ctx, stop := context.WithCancel(context.Background())
 	w.t.Cleanup(stop)
 	go newOperators(w.server).serve(ctx, listener)
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -29,10 +29,15 @@
 
 // newPeers opens the socket for peers; its owner is ctx.
 func newPeers(ctx context.Context, cfg *Config, log *slog.Logger) (*peers, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.peerListen))
+	var config net.ListenConfig
+	if cfg.Ops != "" {
+		config.Control = sharePort
+	}
+	packets, err := config.ListenPacket(ctx, "udp4", cfg.peerListen.String())
 	if err != nil {
 		return nil, fmt.Errorf("listen to peers: %w", err)
 	}
+	conn := packets.(*net.UDPConn)
 	p := &peers{conn: conn, all: cfg.peersAll, from: map[netip.AddrPort]bool{}, log: log}
 	for _, a := range cfg.peers {
 		p.from[a] = a != cfg.peerListen
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -9,25 +9,33 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
+	"runtime/debug"
 	"strconv"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"peatpost/balancer"
 )
 
 const (
-	answerMargin = 10 * time.Millisecond  // of a client's time, kept for writing the final answer
-	acceptAfter  = 600 * time.Millisecond // after SIGTERM or a drain: clients go on connecting for 0.4 s
-	idleSweep    = 100 * time.Millisecond // between looks for connections at rest while drained
-	socketSpare  = 32                     // descriptors for discovery, logs and the runtime
-	busyRetry    = time.Second            // wait told to clients that find all connections in use
-	timeLeftMost = time.Minute            // that a request gets
-	reportEvery  = time.Second            // between log lines of what the sidecar holds
-	readTimeout  = 2 * time.Second        // for a whole request: a peer without a proper one is owed an end within 3 s
-	writeTimeout = 2 * time.Second        // for an answer, from its first byte on
-	idleTimeout  = 10 * time.Second       // between a client's requests
+	answerMargin = 10 * time.Millisecond   // of a client's time, kept for writing the final answer
+	acceptAfter  = 600 * time.Millisecond  // after SIGTERM or a drain: clients go on connecting for 0.4 s
+	acceptOut    = time.Millisecond        // after SIGTERM, with another process there to take clients
+	listWait     = 1500 * time.Millisecond // a process beside another waits so long for discovery: its yes is owed in 6 s
+	idleSweep    = 100 * time.Millisecond  // between looks for connections at rest while drained
+	socketSpare  = 32                      // descriptors for discovery, logs and the runtime
+	busyRetry    = time.Second             // wait told to clients that find all connections in use
+	timeLeftMost = time.Minute             // that a request gets
+	reportEvery  = time.Second             // between log lines of what the sidecar holds
+	readTimeout  = 2 * time.Second         // for a whole request: a peer without a proper one is owed an end within 3 s
+	writeTimeout = 2 * time.Second         // for an answer, from its first byte on
+	idleTimeout  = 10 * time.Second        // between a client's requests
 )
 
 // server takes the application's requests.
@@ -42,53 +50,171 @@
 	drained atomic.Bool // by an operator
 
 	acceptFor time.Duration // after SIGTERM, or a call to drain
+
+	store    *store     // nil without operators
+	applying sync.Mutex // of what is shared
+	applied  uint64     // sequence number of the latest
+	paired   bool       // another process of this sidecar runs
+	divided  bool       // the limits were divided once
 }
 
 // Run serves until ctx ends, then answers what it has taken and returns. Each
 // configuration from reloads replaces the address of discovery; all else in it
 // holds from a start on only.
 func Run(ctx context.Context, cfg *Config, reloads <-chan *Config, log *slog.Logger) error {
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
 	// The loop outlives ctx: requests in hand still need it.
 	loopCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	l, err := newLoop(loopCtx, cfg, log)
 	if err != nil {
-		listener.Close()
 		return err
 	}
 	if err := l.listen(loopCtx); err != nil {
-		listener.Close()
 		return err
 	}
-	go l.follow(reloads)
 	s := newServer(l)
+	paired := false
 	if cfg.Ops != "" {
 		calls, err := listenToOperators(cfg)
 		if err != nil {
-			listener.Close()
 			return err
 		}
+		s.store = openStore(os.TempDir(), cfg.Name, log)
+		defer s.store.close()
+		paired = s.store.paired()
+		s.apply(s.store.state(), paired)
 		go newOperators(s).serve(loopCtx, calls)
+		go s.store.follow(loopCtx, s.apply)
+	} else {
+		s.divide(false)
+	}
+	go l.run()
+	go l.follow(reloads)
+	if paired && !s.awaitList(ctx) { // the other process serves as yet
+		return nil
+	}
+	listener, err := listen(cfg)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if paired {
+		if err := steer(listener); err != nil {
+			// The old process empties its queue all the same: a few may be turned back as it closes.
+			log.Warn("new connections are not steered to this process", "error", err)
+		}
 	}
 	return s.serve(ctx, listener)
 }
 
-// connections is the most that clients may hold, and the most to endpoints:
-// every client's request has one attempt at a time.
-func connections(cfg *Config) int {
+// steer has all new connections come to the later of two sockets that share an address, so that none can come to
+// the earlier one between its last accept and its close.
+func steer(listener net.Listener) error {
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return err
+	}
+	// A classic BPF program that returns the number of the socket to choose. They are numbered as they began to
+	// listen; with a number that none has, as once the earlier is closed, the system chooses for itself.
+	program := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 1}}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF,
+			&unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
+	})
+	return errors.Join(err, failed)
+}
+
+// listen opens the clients' address. Where operators may start a second process, both share it.
+func listen(cfg *Config) (net.Listener, error) {
+	var config net.ListenConfig
+	if cfg.Ops != "" {
+		config.Control = sharePort
+	}
+	return config.Listen(context.Background(), "tcp", cfg.Listen)
+}
+
+// sharePort lets a second process of this sidecar use a socket's address, too.
+func sharePort(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	})
+	return errors.Join(err, failed)
+}
+
+// awaitList waits until this process can serve from a list that discovery has confirmed, or, where discovery is
+// silent, from the one it was started with. It returns false if ctx ends before.
+func (s *server) awaitList(ctx context.Context) bool {
+	told, patience := s.loop.told, time.NewTimer(listWait)
+	defer patience.Stop()
+	for {
+		select {
+		case <-told:
+			told = nil // it stays closed
+		case <-patience.C:
+			patience.Reset(listWait)
+		case <-ctx.Done():
+			return false
+		}
+		if s.loop.listed.Load() {
+			return true
+		}
+	}
+}
+
+// apply takes in what both processes of an upgrade share, and whether there are two. Old news does nothing.
+func (s *server) apply(state shared, paired bool) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	if state.Seq >= s.applied {
+		s.applied = state.Seq
+		s.setDrained(state.Drained)
+	}
+	if paired != s.paired || !s.divided {
+		s.divide(paired)
+	}
+}
+
+// divide keeps this process to its part of the platform's limits: all of them, or half while another runs. A process
+// that was alone cannot give back at once what its clients hold, and they leave it soon: their number stays.
+func (s *server) divide(paired bool) {
+	cfg, parts := s.loop.cfg, 1
+	if paired {
+		parts = 2
+		s.loop.log.Info("another process of this sidecar runs; limits are shared")
+	}
+	most := connections(cfg, parts)
+	s.loop.up.bound(most)
+	if !s.divided || !paired {
+		s.clients.bound(most)
+	}
+	s.paired, s.divided = paired, true
+	// The heap stays under the limit at which the platform kills the process, with room for what the runtime does
+	// not count.
+	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 10 * 8 / int64(parts))
+}
+
+// change alters what is shared, for this process and the other.
+func (s *server) change(alter func(*shared)) error {
+	state, err := s.store.update(alter)
+	if err != nil {
+		return fmt.Errorf("state file: %w", err)
+	}
+	s.apply(state, s.store.paired())
+	return nil
+}
+
+// connections is the most that clients may hold, and the most to endpoints, in each of so many processes: every
+// client's request has one attempt at a time.
+func connections(cfg *Config, processes int) int {
 	spare := socketSpare
 	if cfg.Ops != "" {
 		spare += opsMost
 	}
-	return (cfg.Limits.Sockets - spare) / 2
+	return max(1, (cfg.Limits.Sockets/processes-spare)/2)
 }
 
 func (s *server) serve(ctx context.Context, listener net.Listener) error {
-	go s.loop.run()
 	go s.report(ctx)
 	served := make(chan error, 1)
 	go func() { served <- s.http.Serve(clientListener{listener}) }()
@@ -98,7 +224,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	return s.end()
+	return s.end(listener)
 }
 
 // serves says whether this process serves clients, be it told to send them away or not.
@@ -124,7 +250,7 @@
 
 func newServer(l *loop) *server {
 	s := &server{loop: l, classes: map[string]uint8{}, tenants: map[string]uint16{},
-		clients: newClients(connections(l.cfg)), acceptFor: acceptAfter}
+		clients: newClients(connections(l.cfg, 1)), acceptFor: acceptAfter}
 	for i, c := range l.cfg.Settings.Classes {
 		s.classes[c.Name] = uint8(i)
 	}
@@ -171,8 +297,11 @@
 
 // end ends the service without losing a request. Every answer from here on ends its connection; those still at
 // rest when clients no longer connect are closed.
-func (s *server) end() error {
+func (s *server) end(listener net.Listener) error {
 	s.ending.Store(true)
+	if l, ok := listener.(*net.TCPListener); ok && s.store != nil && s.store.paired() {
+		l.SetDeadline(time.Now().Add(acceptOut)) // new clients go to the other process from here on
+	}
 	time.Sleep(s.acceptFor)
 	s.clients.closeIdle(0)
 	var longest balancer.Micros
@@ -211,7 +340,7 @@
 // request takes one request and gives its one final answer.
 func (s *server) request(w http.ResponseWriter, in *http.Request) {
 	arrived := s.loop.clock.now()
-	if s.clients.open() > s.clients.most {
+	if s.clients.full() {
 		// Beyond this the process runs out of descriptors, and then it can
 		// neither accept nor send.
 		w.Header().Set("Connection", "close")
--- /dev/null
+++ b/internal/sidecar/store.go
@@ -0,0 +1,208 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"net/url"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	sharedVersion = 1
+	sharedMost    = 1 << 20                // bytes of the file
+	followEvery   = 100 * time.Millisecond // between looks at the file and at the other's seat
+	lockPatience  = 500 * time.Millisecond // the lock is held for the writing of a small file
+	lockPause     = 5 * time.Millisecond
+
+	// Bytes of the lock file: one to write under, and a seat for each of two processes.
+	writeByte = 0
+	seatByte  = 1
+	seats     = 2
+)
+
+// shared is what the two processes of an upgrade agree on.
+type shared struct {
+	Version int      `json:"version"`
+	Seq     uint64   `json:"seq"` // grows with every change
+	Drained bool     `json:"drained"`
+	Banned  []string `json:"banned"` // host names
+}
+
+// store keeps the shared state in a file, and tells whether another process of this sidecar runs.
+type store struct {
+	path string
+	log  *slog.Logger
+
+	mu   sync.Mutex
+	lock *os.File    // nil where it could not be opened
+	last shared      // last good state
+	file os.FileInfo // as last read; nil before
+}
+
+var errNoStore = errors.New("the state file's folder cannot be used")
+
+// openStore takes a seat and reads what an earlier process left. A folder that cannot be used costs the operators'
+// calls that change something, not the service.
+func openStore(dir, name string, log *slog.Logger) *store {
+	s := &store{path: filepath.Join(dir, "pinedale-"+url.PathEscape(name)+".json"), log: log}
+	var err error
+	if s.lock, err = os.OpenFile(s.path+".lock", os.O_RDWR|os.O_CREATE, 0o600); err != nil {
+		log.Error("state file: no lock; calls that change something are answered no", "error", err)
+		return s
+	}
+	seated := false
+	for seat := int64(seatByte); seat < seatByte+seats && !seated; seat++ {
+		seated = s.flock(unix.F_WRLCK, seat) == nil
+	}
+	if !seated {
+		log.Error("state file: more than two processes of this sidecar run")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.read()
+	return s
+}
+
+// close gives the seat up.
+func (s *store) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lock != nil {
+		s.lock.Close()
+		s.lock = nil
+	}
+}
+
+// flock locks or unlocks a byte of the lock file, for as long as the file is open.
+func (s *store) flock(kind int16, at int64) error {
+	return unix.FcntlFlock(s.lock.Fd(), unix.F_OFD_SETLK, &unix.Flock_t{Type: kind, Start: at, Len: 1})
+}
+
+// paired says whether another process of this sidecar runs.
+func (s *store) paired() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lock == nil {
+		return false
+	}
+	other := unix.Flock_t{Type: unix.F_WRLCK, Start: seatByte, Len: seats}
+	err := unix.FcntlFlock(s.lock.Fd(), unix.F_OFD_GETLK, &other)
+	return err == nil && other.Type != unix.F_UNLCK
+}
+
+// state returns the last good state.
+func (s *store) state() shared {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last
+}
+
+// read takes in the file if it has changed. It holds s.mu.
+func (s *store) read() {
+	info, err := os.Stat(s.path)
+	if errors.Is(err, fs.ErrNotExist) && s.file == nil {
+		return // nothing was ever changed
+	}
+	if err == nil && s.file != nil && os.SameFile(info, s.file) && info.ModTime().Equal(s.file.ModTime()) &&
+		info.Size() == s.file.Size() {
+		return
+	}
+	if err != nil {
+		s.log.Error("state file: keeping the last good state", "error", err)
+		s.file = nil
+		return
+	}
+	s.file = info
+	next, err := readShared(s.path, info.Size())
+	if err != nil {
+		s.log.Error("state file: keeping the last good state", "error", err)
+		return
+	}
+	if next.Seq >= s.last.Seq {
+		s.last = next
+	}
+}
+
+func readShared(path string, size int64) (shared, error) {
+	var state shared
+	if size > sharedMost {
+		return state, fmt.Errorf("%s: %d bytes are too many", path, size)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return state, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&state); err != nil {
+		return shared{}, fmt.Errorf("%s: %w", path, err)
+	}
+	if state.Version != sharedVersion {
+		return shared{}, fmt.Errorf("%s: version %d is not %d", path, state.Version, sharedVersion)
+	}
+	return state, nil
+}
+
+// update changes the state for both processes, and returns the new one.
+func (s *store) update(alter func(*shared)) (shared, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lock == nil {
+		return s.last, errNoStore
+	}
+	for until := time.Now().Add(lockPatience); ; time.Sleep(lockPause) {
+		err := s.flock(unix.F_WRLCK, writeByte)
+		if err == nil {
+			break
+		}
+		if time.Now().After(until) {
+			return s.last, fmt.Errorf("lock: %w", err)
+		}
+	}
+	defer s.flock(unix.F_UNLCK, writeByte)
+	s.read()
+	next := s.last
+	next.Banned = append([]string(nil), s.last.Banned...)
+	alter(&next)
+	next.Version, next.Seq = sharedVersion, s.last.Seq+1
+	data, err := json.Marshal(next)
+	if err != nil {
+		return s.last, err
+	}
+	if err := os.WriteFile(s.path+".new", data, 0o600); err != nil {
+		return s.last, err
+	}
+	if err := os.Rename(s.path+".new", s.path); err != nil {
+		return s.last, err
+	}
+	s.last = next
+	s.file, _ = os.Stat(s.path) // it is looked at again if that failed
+	return next, nil
+}
+
+// follow tells of the state and of a second process now and again, until ctx ends.
+func (s *store) follow(ctx context.Context, tell func(state shared, paired bool)) {
+	tick := time.NewTicker(followEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			s.mu.Lock()
+			s.read()
+			s.mu.Unlock()
+			tell(s.state(), s.paired())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -223,15 +223,7 @@
 		}
 		u.drop(c)
 	}
-	if u.open >= u.most {
-		for other, list := range u.idle {
-			if len(list) > 0 {
-				u.idle[other] = list[1:]
-				u.drop(list[0])
-				break
-			}
-		}
-	}
+	u.trim(u.most - 1)
 	if u.open >= u.most {
 		return nil, errFull
 	}
@@ -239,6 +231,25 @@
 	return nil, nil
 }
 
+// trim closes idle connections until so many are open, or none is idle. It holds u.mu.
+func (u *upstream) trim(most int) {
+	for t, list := range u.idle {
+		for u.open > most && len(list) > 0 {
+			u.drop(list[0])
+			list = list[1:]
+		}
+		u.idle[t] = list
+	}
+}
+
+// bound sets how many connections there may be.
+func (u *upstream) bound(most int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.most = most
+	u.trim(most)
+}
+
 // connections counts the open connections and the idle ones among them.
 func (u *upstream) connections() (open, idle int) {
 	u.mu.Lock()
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -334,6 +334,7 @@
 	w.server = newServer(w.loop)
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
+	go w.loop.run()
 	go func() {
 		w.ended <- w.server.serve(ctx, listener)
 		stopLoop()
@@ -408,3 +409,9 @@
 	body, err := io.ReadAll(response.Body)
 	return reply{response.StatusCode, response.Header, string(body), err}
 }
+
+// open counts the connections that are held.
+func (c *clients) open() int {
+	_, fresh, active, idle := c.counts()
+	return fresh + active + idle
+}
