Take pin servers out by hand: bans as events of the module, kept over upgrades

No cause to look for: the part was missing. The ban stands beside the list in the module (maySend, usable), by name in the state file; a call back counts as a cold start and, if 2 s bring no request, the next goes there.

Tests fail without it: TestBannedGetsNothing, TestCalledBackIsUsedAgain, TestCalledBackIsNotPushedOver, the random rules with bans, TestPinServerOutByHand, TestCallThatCannotBeKept, TestCallsGoAheadOfEvents.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -30,7 +30,8 @@
 	}
 	b := &Balancer{
 		s: s, out: out, rng: source(seed),
-		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, logged: map[string]Micros{},
+		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, bans: map[uint32]Micros{},
+		recalls: map[uint32]Micros{}, logged: map[string]Micros{},
 		classes: make([]classStats, len(s.Classes)), tenants: make([]meter, len(s.Tenants)),
 	}
 	for i := range b.classes {
@@ -100,7 +101,7 @@
 // maySend says whether the rules allow an attempt at e now.
 func (b *Balancer) maySend(now Micros, r *request, e *endpoint) bool {
 	if r.ended || r.stream || r.out > 0 || now >= r.Deadline ||
-		len(r.attempts) >= b.s.Limits.MaxAttempts || e.State != Ready {
+		len(r.attempts) >= b.s.Limits.MaxAttempts || !e.usable() {
 		return false
 	}
 	if e.cold(now, b) && !b.coldRoom(now, e, r.work) {
@@ -130,6 +131,7 @@
 		out: true, mayRun: true})
 	r.out++
 	e.inflight++
+	e.dueAt = 0
 	e.sentAt = append(e.sentAt, now)
 	b.sentWork.add(now, r.work)
 	b.out.Send(r.ID, e.ID, 0)
@@ -218,16 +220,21 @@
 		b.byID[in.ID] = e
 		b.list = append(b.list, e)
 	}
+	if at, ok := b.recalls[in.ID]; ok {
+		delete(b.recalls, in.ID)
+		e.dueAt = at
+	}
 	restarted := !fresh && in.StartTime != 0 && in.StartTime != e.StartTime
 	if restarted {
 		// A new process owes nothing to the old one's record.
-		*e = endpoint{inflight: e.inflight}
+		*e = endpoint{inflight: e.inflight, dueAt: e.dueAt}
 	}
 	started := in.StartTime
 	if started == 0 && fresh && b.listed {
 		started = now // it appeared while we watched
 	}
 	e.Endpoint, e.seen = *in, true
+	e.bannedAt, e.banned = b.bans[in.ID]
 	b.largest = max(b.largest, float64(e.Share))
 	if started != 0 && now-started < b.s.Contract.RampTime && (fresh || restarted) {
 		// A quiet balancer takes minutes to earn one send: all start somewhere on that way, or none would send
@@ -247,14 +254,18 @@
 	coldShare  = 0.28 // of the multiple at which it falls over
 	coldCharge = 1.15
 	probeShare = 0.01 // of a request's work, taken from a cold endpoint's room by a probe
+
+	// An endpoint that was called back and that no request has come to by itself gets the next one: operators
+	// expect it in use within 5 s.
+	dueAfter = 2 * second
 )
 
 // coldRoom refills the token bucket of a cold endpoint and says whether a request of this work fits.
 func (b *Balancer) coldRoom(now Micros, e *endpoint, work float64) bool {
 	var warm, ready float64
 	for _, o := range b.list {
-		ready += share(o.State == Ready)
-		warm += share(o.State == Ready && !o.cold(now, b))
+		ready += share(o.usable())
+		warm += share(o.usable() && !o.cold(now, b))
 	}
 	rate := b.sentWork.rate(now)
 	if warm == 0 { // nothing to compare with: an even share of what is asked
@@ -267,6 +278,60 @@
 	return e.room >= work*coldCharge
 }
 
+// Ban takes an endpoint out of use by hand until Unban, whatever lists say of it, listed or not.
+func (b *Balancer) Ban(now Micros, id uint32) {
+	if _, ok := b.bans[id]; ok {
+		return
+	}
+	b.bans[id] = now
+	delete(b.recalls, id)
+	if e := b.byID[id]; e != nil {
+		e.bannedAt, e.banned, e.dueAt = now, true, 0
+	}
+}
+
+// Unban takes an endpoint into use again. It counts as cold: it was probably restarted while it was out, and
+// the list may say so late.
+func (b *Balancer) Unban(now Micros, id uint32) {
+	if _, ok := b.bans[id]; !ok {
+		return
+	}
+	delete(b.bans, id)
+	e := b.byID[id]
+	if e == nil { // not listed now: it is due once it is
+		b.recalls[id] = now + dueAfter
+		return
+	}
+	e.banned, e.answerAt = false, 0
+	if !e.isCold || e.coldFrom < e.bannedAt {
+		e.isCold, e.coldFrom = true, now
+	}
+	// What it failed at before says nothing of it now.
+	e.errs, e.pace, e.br = 0, ewma{}, breaker{}
+	e.room, e.roomAt, e.dueAt = 0, now, now+dueAfter
+	e.probing = false
+	b.probe(now, e)
+}
+
+// due returns an endpoint that was called back and has got nothing for too long, if r may go there. Its first
+// request need not be saved up where those of all balancers together are no more than it bears when coldest.
+func (b *Balancer) due(now Micros, r *request) *endpoint {
+	c, first := &b.s.Contract, r.work*coldCharge
+	for _, e := range b.list {
+		if e.dueAt == 0 || now < e.dueAt || len(r.attempts) > 0 {
+			continue
+		}
+		bears := c.ColdFrom * coldShare * c.FallMultiple * float64(c.OverloadFor) * b.width(e)
+		if float64(b.s.Balancers)*first <= bears {
+			e.room = max(e.room, first)
+		}
+		if b.maySend(now, r, e) {
+			return e
+		}
+	}
+	return nil
+}
+
 func (b *Balancer) askIn(now, delay Micros) {
 	b.askAt = now + delay
 	b.out.Timer(delay, tokenDiscovery)
@@ -399,7 +464,7 @@
 }
 
 func (b *Balancer) probe(now Micros, e *endpoint) {
-	if lost := now-e.probedAt > 5*second; b.s.Limits.Probes && e.State == Ready && (lost || !e.probing) {
+	if lost := now-e.probedAt > 5*second; b.s.Limits.Probes && e.usable() && (lost || !e.probing) {
 		e.probing, e.probedAt = true, now
 		e.room -= probeShare * b.classes[0].work.v * share(e.cold(now, b))
 		b.out.Probe(e.ID)
@@ -435,7 +500,7 @@
 				e = o
 			}
 		}
-		if e.State == Ready && !e.probing {
+		if e.usable() && !e.probing {
 			b.probe(now, e)
 			n--
 		}
@@ -537,7 +602,7 @@
 		return
 	}
 	for _, n := range all {
-		if e := b.byID[n.id]; e != nil && e.State == Ready && startMark(e.StartTime) == n.start {
+		if e := b.byID[n.id]; e != nil && e.usable() && startMark(e.StartTime) == n.start {
 			b.learnLoad(now, e, float64(n.held))
 			b.learnWidth(e, float64(n.held), float64(n.queue))
 		}
@@ -657,7 +722,7 @@
 		}
 	}
 	b.pool = slices.DeleteFunc(b.pool, func(e *endpoint) bool {
-		e.pooled = e.State == Ready && now-e.answerAt <= fresh
+		e.pooled = e.usable() && now-e.answerAt <= fresh
 		return !e.pooled
 	})
 	// A random start parts equals: all balancers may hold the same list. Where they share their answers, the
@@ -809,7 +874,11 @@
 // attempt picks and sends; a pick that the breaker refuses tries one more.
 func (b *Balancer) attempt(now Micros, r *request, first bool) bool {
 	r.value = b.value(now, r)
-	e := b.pick(now, r, nil)
+	e := b.due(now, r)
+	if e != nil && b.allows(now, r, e) {
+		return b.send(now, r, e)
+	}
+	e = b.pick(now, r, nil)
 	if n := len(r.attempts); e == nil && n > 0 && b.maySend(now, r, r.attempts[n-1].ep) {
 		e = r.attempts[n-1].ep // alone in its group: often the connection broke, not the endpoint
 	}
--- /dev/null
+++ b/balancer/bans_test.go
@@ -0,0 +1,135 @@
+package balancer
+
+import (
+	"slices"
+	"testing"
+)
+
+// traffic sends a steady load through a balancer, answers it all, and counts sends by endpoint.
+type traffic struct {
+	b     *Balancer
+	r     *recorder
+	id    uint64
+	seen  int
+	sends map[uint32]int
+	first map[uint32]Micros // when an endpoint was first sent something
+}
+
+func newTraffic(b *Balancer, r *recorder) *traffic {
+	return &traffic{b: b, r: r, sends: map[uint32]int{}, first: map[uint32]Micros{}}
+}
+
+func (tr *traffic) run(from, to, gap Micros) {
+	for now := from; now < to; now += gap {
+		for e := range uint32(4) {
+			tr.b.Probed(now, e+1, OK, 500, []float32{0})
+		}
+		tr.id++
+		tr.b.Request(now, request0(tr.id, 0, now))
+		for ; tr.seen < len(tr.r.sends); tr.seen++ {
+			s := tr.r.sends[tr.seen]
+			if tr.sends[s.endpoint]++; tr.first[s.endpoint] == 0 {
+				tr.first[s.endpoint] = now
+			}
+			tr.b.Outcome(now, Outcome{ID: s.id, Endpoint: s.endpoint, Status: OK, Latency: 30_000, Settled: true})
+		}
+	}
+}
+
+// A ban holds whatever lists say, and whenever the endpoint is listed.
+func TestBannedGetsNothing(t *testing.T) {
+	b, r := start(t, testSettings(), ready(3))
+	b.Ban(1000, 1)
+	b.Ban(1000, 4)
+	tr := newTraffic(b, r)
+	for i, news := range []func(now Micros){
+		func(Micros) {},
+		func(now Micros) { b.Members(now, ListDelta, []Endpoint{{ID: 1, State: Gone}}) },
+		func(now Micros) { b.Members(now, ListFull, ready(4)) },
+		func(now Micros) { b.Members(now, ListDelta, []Endpoint{{ID: 1, State: Ready, StartTime: now}}) },
+		func(now Micros) { b.Ban(now, 1) },
+	} {
+		now := Micros(i+1) * second
+		r.probes = r.probes[:0]
+		news(now)
+		b.Timer(now, tokenProbe)
+		tr.run(now, now+second, 10_000)
+		if slices.Contains(r.probes, 1) || slices.Contains(r.probes, 4) {
+			t.Errorf("after news %d: a banned endpoint was probed", i)
+		}
+	}
+	if tr.sends[1] != 0 || tr.sends[4] != 0 || tr.sends[2]+tr.sends[3] == 0 {
+		t.Errorf("sends by endpoint %v, want none to 1 and 4", tr.sends)
+	}
+}
+
+// A call back ends the ban at once, and the endpoint gets a request within 5 s, cold or busy as it may seem.
+func TestCalledBackIsUsedAgain(t *testing.T) {
+	for name, news := range map[string]func(b *Balancer){
+		"no news of a restart": func(b *Balancer) {},
+		"restarted while out":  func(b *Balancer) { b.Members(4*second, ListFull, restarted(3*second)) },
+		"gone while out":       func(b *Balancer) { b.Members(4*second, ListFull, ready(3)[1:]) },
+	} {
+		s := testSettings()
+		s.Contract.FallMultiple, s.Contract.OverloadFor = 4, 3*second/2
+		b, r := start(t, s, ready(3))
+		tr := newTraffic(b, r)
+		tr.run(second, 2*second, 100_000)
+		b.Ban(2*second, 1)
+		news(b)
+		before := tr.sends[1]
+		tr.run(4*second, 5*second, 100_000)
+		if tr.sends[1] != before {
+			t.Errorf("%s: sent to while banned", name)
+		}
+		r.probes = r.probes[:0]
+		b.Unban(5*second, 1)
+		b.Unban(5*second, 1)
+		if name != "gone while out" {
+			if !slices.Equal(r.probes, []uint32{1}) {
+				t.Errorf("%s: probes at the call back are %v, want one of 1", name, r.probes)
+			}
+			if e := b.byID[1]; !e.cold(5*second, b) {
+				t.Errorf("%s: it is not taken for cold", name)
+			}
+		} else {
+			b.Members(5*second+second/2, ListFull, restarted(5*second))
+		}
+		delete(tr.first, 1)
+		tr.run(5*second+second/2, 9*second, 100_000)
+		if at := tr.first[1]; at == 0 || at > 5*second+dueAfter+second {
+			t.Errorf("%s: first used at %d µs (0 for never), called back at 5 s", name, at)
+		}
+	}
+}
+
+func restarted(at Micros) []Endpoint {
+	list := ready(3)
+	list[0].StartTime = at
+	return list
+}
+
+// In a large fleet the first requests of all balancers together would push a cold endpoint over: each saves up.
+func TestCalledBackIsNotPushedOver(t *testing.T) {
+	s := testSettings()
+	s.Balancers = 1000
+	b, _ := start(t, s, ready(3))
+	b.Ban(second, 1)
+	b.Unban(2*second, 1)
+	due := func() bool {
+		now := 2*second + dueAfter
+		r := b.newRequest(now, request0(1, 0, now))
+		r.work = b.classes[0].work.v
+		return b.due(now, r) != nil
+	}
+	if due() {
+		t.Error("each of a thousand balancers sends it a first request")
+	}
+	s.Balancers = 1
+	b, _ = start(t, s, ready(3))
+	b.Ban(second, 1)
+	b.Unban(2*second, 1)
+	if !due() {
+		t.Error("the only balancer does not send it a first request")
+	}
+}
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -13,6 +13,7 @@
 	s        Settings
 	now      Micros
 	states   map[uint32]Endpoint
+	banned   map[uint32]bool
 	cold     map[uint32]Micros   // endpoint: told start
 	coldWork map[uint32]float64  // requests sent while cold
 	reqs     map[uint64]*checked // open and ended
@@ -64,6 +65,9 @@
 	if r.answered > 0 || r.told {
 		c.fault("send after the end of %d", id)
 	}
+	if c.banned[endpoint] {
+		c.fault("send to endpoint %d, which is banned", endpoint)
+	}
 	if !known || e.State != Ready {
 		c.fault("send to endpoint %d in state %d", endpoint, e.State)
 	}
@@ -147,7 +151,7 @@
 func play(t *testing.T, s Settings, seed int64) []string {
 	t.Helper()
 	rnd := rand.New(rand.NewSource(seed))
-	c := &checker{s: s, now: 1_000_000, states: map[uint32]Endpoint{}, cold: map[uint32]Micros{},
+	c := &checker{s: s, now: 1_000_000, states: map[uint32]Endpoint{}, banned: map[uint32]bool{}, cold: map[uint32]Micros{},
 		coldWork: map[uint32]float64{}, reqs: map[uint64]*checked{}}
 	b, err := New(s, uint64(seed), c)
 	if err != nil {
@@ -243,7 +247,13 @@
 				members(ListFull, slices.Clone(list))
 				continue
 			}
-			switch rnd.Intn(6) {
+			switch rnd.Intn(7) {
+			case 6:
+				if c.banned[e.ID] = !c.banned[e.ID]; c.banned[e.ID] {
+					b.Ban(c.now, e.ID)
+				} else {
+					b.Unban(c.now, e.ID)
+				}
 			case 0:
 				members(ListFull, slices.Clone(list[:rnd.Intn(len(list)+1)]))
 			case 1:
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -19,14 +19,16 @@
 	held     []*request          // requests that wait for probes
 
 	byID    map[uint32]*endpoint
-	list    []*endpoint // known endpoints in the order first heard of
-	home    []*endpoint // those of the own zone
-	listed  bool        // discovery has answered since the start
-	pool    []*endpoint // endpoints with a fresh answer
-	largest float64     // share of any listed endpoint
-	asks    float64     // probes that go with a request, while sparse
-	tells   bool        // answers are shared with the other balancers
-	sparse  bool        // probes are asked for single requests
+	bans    map[uint32]Micros // endpoints out by hand, listed or not, and since when
+	recalls map[uint32]Micros // called back while not listed, and when they are due
+	list    []*endpoint       // known endpoints in the order first heard of
+	home    []*endpoint       // those of the own zone
+	listed  bool              // discovery has answered since the start
+	pool    []*endpoint       // endpoints with a fresh answer
+	largest float64           // share of any listed endpoint
+	asks    float64           // probes that go with a request, while sparse
+	tells   bool              // answers are shared with the other balancers
+	sparse  bool              // probes are asked for single requests
 
 	subscribed bool
 	askAt      Micros // next call of discovery, unless subscribed by then
@@ -103,7 +105,10 @@
 // endpoint is what a balancer knows of an endpoint.
 type endpoint struct {
 	Endpoint
-	seen     bool // named by the list being read
+	seen     bool   // named by the list being read
+	banned   bool   // out of use by hand
+	bannedAt Micros // since then, or until then
+	dueAt    Micros // called back and unused: the next request from then on goes there; 0 for not
 	isCold   bool
 	coldFrom Micros  // start of its warm-up
 	room     float64 // work that it may still get while cold
@@ -242,6 +247,9 @@
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.ep == e })
 }
 
+// usable says whether requests may be sent to e at all.
+func (e *endpoint) usable() bool { return e.State == Ready && !e.banned }
+
 // settled ends the count of an attempt that was sent at an instant.
 func (e *endpoint) settled(at Micros) {
 	e.inflight--
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"log/slog"
 	"net/http"
@@ -14,6 +15,7 @@
 const (
 	eventsMost = 1024 // waiting for the loop
 	pruneEvery = time.Second
+	urgeWait   = 900 * time.Millisecond // an operator's answer is owed in 1 s
 )
 
 // clock gives the balancer's time: microseconds that never run backwards, from
@@ -39,6 +41,8 @@
 	Timer(now balancer.Micros, token uint32)
 	Probed(now balancer.Micros, endpoint uint32, status balancer.Status, latency balancer.Micros, load []float32)
 	Told(now balancer.Micros, data []byte)
+	Ban(now balancer.Micros, id uint32)
+	Unban(now balancer.Micros, id uint32)
 }
 
 // loop owns the balancer: one goroutine passes it every event and carries out
@@ -51,10 +55,11 @@
 	up     *upstream
 	disc   *discovery
 	events chan func(now balancer.Micros)
-	ctx    context.Context // ends with the loop
-	listed atomic.Bool     // endpoints are known
-	told   chan struct{}   // closed once discovery has answered
-	peers  *peers          // nil where there are none to talk to
+	urgent chan func(now balancer.Micros) // operators' calls, ahead of events
+	ctx    context.Context                // ends with the loop
+	listed atomic.Bool                    // endpoints are known
+	told   chan struct{}                  // closed once discovery has answered
+	peers  *peers                         // nil where there are none to talk to
 
 	// Below: the loop's goroutine alone.
 	balancer  decider
@@ -63,12 +68,20 @@
 	ids       map[string]uint32 // by host name
 	names     map[uint32]string // the other way round
 	targets   map[uint32]*target
-	seq       *uint64 // version of the last list, if there was any
-	watching  bool    // the balancer wants the list watched
-	answered  bool    // discovery has answered
+	listings  map[uint32]listing // all that was ever listed, as it was last
+	banned    map[uint32]bool    // out of use by hand
+	seq       *uint64            // version of the last list, if there was any
+	watching  bool               // the balancer wants the list watched
+	answered  bool               // discovery has answered
 	stopWatch context.CancelFunc
 }
 
+// listing is what discovery last said of an endpoint.
+type listing struct {
+	host
+	state balancer.State
+}
+
 // request is the ledger's entry for a request that the balancer may still
 // speak of: no final answer is out, or attempts are.
 type request struct {
@@ -94,6 +107,8 @@
 		cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx,
 		up: newUpstream(cfg, connections(cfg, 1)), told: make(chan struct{}), disc: newDiscovery(cfg.Discovery),
 		events:   make(chan func(balancer.Micros), eventsMost),
+		urgent:   make(chan func(balancer.Micros), opsMost),
+		listings: map[uint32]listing{}, banned: map[uint32]bool{},
 		requests: map[uint64]*request{}, ids: map[string]uint32{}, names: map[uint32]string{}, targets: map[uint32]*target{},
 		stopWatch: func() {},
 	}
@@ -116,6 +131,14 @@
 	defer prune.Stop()
 	for {
 		select {
+		case event := <-l.urgent:
+			event(l.clock.now())
+			continue
+		default:
+		}
+		select {
+		case event := <-l.urgent:
+			event(l.clock.now())
 		case event := <-l.events:
 			event(l.clock.now())
 		case <-prune.C:
@@ -134,6 +157,29 @@
 	}
 }
 
+// errBusy says that the loop took no notice of a call in time.
+var errBusy = errors.New("the call could not be carried out in time")
+
+// urge has the loop carry something out ahead of the events that wait for it, and waits for that.
+func (l *loop) urge(event func(now balancer.Micros)) error {
+	done := make(chan struct{})
+	patience := time.NewTimer(urgeWait)
+	defer patience.Stop()
+	select {
+	case l.urgent <- func(now balancer.Micros) { event(now); close(done) }:
+	case <-patience.C:
+		return errBusy
+	case <-l.ctx.Done():
+		return l.ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-patience.C:
+		return errBusy
+	}
+}
+
 // take passes a new request to the balancer.
 func (l *loop) take(now balancer.Micros, r *request, in balancer.Request) {
 	l.lastID++
@@ -203,12 +249,12 @@
 			e.StartTime = h.BornMS * 1000
 		}
 		entries = append(entries, e)
-		l.aim(id, h, e.State)
+		l.aim(id, listing{h, e.State})
 	}
 	if kind != balancer.ListDelta {
-		for id := range l.targets {
-			if !named[id] {
-				l.aim(id, host{}, balancer.Gone)
+		for id, old := range l.listings {
+			if !named[id] && old.state != balancer.Gone {
+				l.aim(id, listing{state: balancer.Gone})
 			}
 		}
 	}
@@ -234,19 +280,51 @@
 	return id
 }
 
-// aim points an endpoint's id at where it is reached now. A target that drains,
-// is gone or has restarted is closed, so that a send on its way does not start.
-func (l *loop) aim(id uint32, h host, state balancer.State) {
+// aim points an endpoint's id at where it is reached now. A target that drains, is gone, has restarted or is banned
+// is closed, so that a send on its way does not start.
+func (l *loop) aim(id uint32, to listing) {
+	l.listings[id] = to
+	wanted := to.state == balancer.Ready && !l.banned[id]
 	t := l.targets[id]
-	if t != nil && state == balancer.Ready && t.address == h.Dial && t.born == h.BornMS {
+	if t != nil && wanted && t.address == to.Dial && t.born == to.BornMS {
 		return
 	}
 	if t != nil {
 		l.up.retire(t)
 		delete(l.targets, id)
 	}
-	if state == balancer.Ready {
-		l.targets[id] = &target{address: h.Dial, born: h.BornMS}
+	if wanted {
+		l.targets[id] = &target{address: to.Dial, born: to.BornMS}
+	}
+}
+
+// setBans brings the endpoints out of use by hand in line with the names of hosts that are.
+func (l *loop) setBans(now balancer.Micros, names []string) {
+	wanted := map[uint32]bool{}
+	for _, name := range names {
+		id := l.number(name)
+		wanted[id] = true
+		if !l.banned[id] {
+			l.banned[id] = true
+			l.reaim(id)
+			l.balancer.Ban(now, id)
+			l.log.Info("banned", "host", name, "endpoint", id)
+		}
+	}
+	for id := range l.banned {
+		if !wanted[id] {
+			delete(l.banned, id)
+			l.reaim(id)
+			l.balancer.Unban(now, id)
+			l.log.Info("ban ended", "host", l.names[id], "endpoint", id)
+		}
+	}
+}
+
+// reaim follows a change of the bans.
+func (l *loop) reaim(id uint32) {
+	if to, ok := l.listings[id]; ok {
+		l.aim(id, to)
 	}
 }
 
--- a/internal/sidecar/ops.go
+++ b/internal/sidecar/ops.go
@@ -9,7 +9,11 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
+
+	"peatpost/balancer"
 )
 
 const (
@@ -39,6 +43,8 @@
 	o := &operators{server: s, log: s.loop.log, callers: newClients(opsMost)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", o.ready)
+	mux.HandleFunc("POST /pin-servers/disable", o.ban(true))
+	mux.HandleFunc("POST /pin-servers/enable", o.ban(false))
 	mux.HandleFunc("POST /drain", o.drain(true))
 	mux.HandleFunc("POST /undrain", o.drain(false))
 	handler := func(w http.ResponseWriter, in *http.Request) {
@@ -78,6 +84,37 @@
 	}
 }
 
+// ban answers a call that takes a pin server out of use by hand, or into use again.
+func (o *operators) ban(on bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, in *http.Request) {
+		body, err := io.ReadAll(in.Body)
+		if err != nil {
+			o.answer(w, in, err)
+			return
+		}
+		id := strings.TrimSpace(string(body))
+		if id == "" {
+			http.Error(w, "the body must be a pin server's id", http.StatusBadRequest)
+			return
+		}
+		var known bool
+		if err := o.server.loop.urge(func(balancer.Micros) { _, known = o.server.loop.ids[id] }); err != nil {
+			o.answer(w, in, err)
+			return
+		}
+		if !known {
+			http.Error(w, "no such pin server was ever listed", http.StatusNotFound)
+			return
+		}
+		o.answer(w, in, o.server.change(func(state *shared) {
+			state.Banned = slices.DeleteFunc(state.Banned, func(name string) bool { return name == id })
+			if on {
+				state.Banned = append(state.Banned, id)
+			}
+		}))
+	}
+}
+
 // answer says yes, or why a call was not carried out.
 func (o *operators) answer(w http.ResponseWriter, in *http.Request, err error) {
 	if err != nil {
--- a/internal/sidecar/ops_test.go
+++ b/internal/sidecar/ops_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"peatpost/balancer"
 )
 
 // operate opens an operators' address for a running sidecar and returns what calls it.
@@ -49,13 +51,19 @@
 		{"POST", "/ready", "", 405},
 		{"GET", "/drain", "", 405},
 		{"GET", "/health/ready", "", 404},
+		{"POST", "/pin-servers/disable", "", 400},
+		{"POST", "/pin-servers/disable", " \n", 400},
+		{"POST", "/pin-servers/disable", "s-9", 404},
+		{"POST", "/pin-servers/enable", "s-9", 404},
+		{"GET", "/pin-servers/disable", "", 405},
+		{"POST", "/pin-servers/disable", strings.Repeat("s", opsBodyMost+1), 413},
 		{"POST", "/drain", strings.Repeat("x", opsBodyMost+1), 413},
 	} {
 		if code := call(c.method, c.path, c.body); code != c.code {
 			t.Errorf("%s %s: %d, want %d", c.method, c.path, code, c.code)
 		}
-		if w.server.drained.Load() {
-			t.Fatalf("%s %s changed something", c.method, c.path)
+		if now := w.server.store.look(); now.Seq != 0 {
+			t.Fatalf("%s %s changed something: %+v", c.method, c.path, now)
 		}
 	}
 }
@@ -183,3 +191,87 @@
 		t.Errorf("a request on its way in: %v, %v; want 200 and the end", response, err)
 	}
 }
+
+// A pin server out by hand gets nothing, whatever the list says, until the call back.
+func TestPinServerOutByHand(t *testing.T) {
+	one, two := newEndpoint(t, always(served)), newEndpoint(t, always(served))
+	hosts := []host{ready("s-1", one.address), ready("s-2", two.address)}
+	w := start(t, nil, hosts...)
+	call := w.operate()
+	for range 2 {
+		if code := call("POST", "/pin-servers/disable", "s-1\n"); code != 200 {
+			t.Fatalf("disable: %d", code)
+		}
+	}
+	lists := w.listed()
+	w.dir.change(func() {
+		w.dir.list.Seq++
+		hosts[0].BornMS = time.Now().UnixMilli()
+		w.dir.list.Hosts = hosts
+	})
+	w.until("the list with its restart", func() bool { return w.listed() > lists })
+	before, _ := one.seen()
+	for range 20 {
+		if got := w.send(w.request("read", "", 3*time.Second)); got.code != 200 {
+			t.Fatalf("with one of two pin servers out: %+v", got)
+		}
+	}
+	if n, _ := one.seen(); n != before {
+		t.Errorf("%d requests came to the pin server that is out", n-before)
+	}
+	if code := call("POST", "/pin-servers/enable", "s-1"); code != 200 {
+		t.Fatalf("enable: %d", code)
+	}
+	w.until("the pin server to be used again", func() bool {
+		w.send(w.request("read", "", 3*time.Second))
+		n, _ := one.seen()
+		return n > before
+	})
+}
+
+// listed counts the lists that the balancer was told.
+func (w *world) listed() int {
+	w.spy.mu.Lock()
+	defer w.spy.mu.Unlock()
+	return len(w.spy.lists)
+}
+
+// A call whose change cannot be kept is answered no, and changes nothing.
+func TestCallThatCannotBeKept(t *testing.T) {
+	w := start(t, nil, ready("s-1", newEndpoint(t, always(served)).address))
+	call := w.operate()
+	w.server.store.close()
+	for path, body := range map[string]string{"/drain": "", "/pin-servers/disable": "s-1"} {
+		if code := call("POST", path, body); code != 503 {
+			t.Errorf("%s: %d, want 503", path, code)
+		}
+	}
+	if w.server.drained.Load() || len(w.loop.banned) != 0 {
+		t.Error("a call that was answered no changed something")
+	}
+}
+
+// Operators' calls do not wait behind the loop's other events.
+func TestCallsGoAheadOfEvents(t *testing.T) {
+	w := start(t, nil, ready("s-1", newEndpoint(t, always(served)).address))
+	hold, held := make(chan struct{}), make(chan struct{})
+	w.loop.post(func(balancer.Micros) { close(held); <-hold })
+	<-held
+	var order []string
+	last := make(chan struct{})
+	for range 5 {
+		w.loop.post(func(balancer.Micros) { order = append(order, "event") })
+	}
+	w.loop.post(func(balancer.Micros) { close(last) })
+	urged := make(chan error, 1)
+	go func() { urged <- w.loop.urge(func(balancer.Micros) { order = append(order, "call") }) }()
+	w.until("the call to wait", func() bool { return len(w.loop.urgent) == 1 })
+	close(hold)
+	if err := <-urged; err != nil {
+		t.Fatal(err)
+	}
+	<-last
+	if order[0] != "call" {
+		t.Errorf("carried out in the order %v, want the call first", order)
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -82,13 +82,16 @@
 		s.store = openStore(os.TempDir(), cfg.Name, log)
 		defer s.store.close()
 		paired = s.store.paired()
-		s.apply(s.store.state(), paired)
+		go l.run()
+		if err := s.apply(s.store.look(), paired); err != nil {
+			return err
+		}
 		go newOperators(s).serve(loopCtx, calls)
-		go s.store.follow(loopCtx, s.apply)
+		go s.followStore(loopCtx)
 	} else {
 		s.divide(false)
+		go l.run()
 	}
-	go l.run()
 	go l.follow(reloads)
 	if paired && !s.awaitList(ctx) { // the other process serves as yet
 		return nil
@@ -163,16 +166,37 @@
 }
 
 // apply takes in what both processes of an upgrade share, and whether there are two. Old news does nothing.
-func (s *server) apply(state shared, paired bool) {
+func (s *server) apply(state shared, paired bool) error {
 	s.applying.Lock()
 	defer s.applying.Unlock()
-	if state.Seq >= s.applied {
-		s.applied = state.Seq
-		s.setDrained(state.Drained)
-	}
 	if paired != s.paired || !s.divided {
 		s.divide(paired)
 	}
+	if state.Seq <= s.applied {
+		return nil
+	}
+	if err := s.loop.urge(func(now balancer.Micros) { s.loop.setBans(now, state.Banned) }); err != nil {
+		return err // the next look at the file tries again
+	}
+	s.applied = state.Seq
+	s.setDrained(state.Drained)
+	return nil
+}
+
+// followStore takes in what the other process changes, until ctx ends.
+func (s *server) followStore(ctx context.Context) {
+	tick := time.NewTicker(followEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if err := s.apply(s.store.look(), s.store.paired()); err != nil && ctx.Err() == nil {
+				s.loop.log.Warn("state file: not taken in yet", "error", err)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // divide keeps this process to its part of the platform's limits: all of them, or half while another runs. A process
@@ -200,8 +224,7 @@
 	if err != nil {
 		return fmt.Errorf("state file: %w", err)
 	}
-	s.apply(state, s.store.paired())
-	return nil
+	return s.apply(state, s.store.paired())
 }
 
 // connections is the most that clients may hold, and the most to endpoints, in each of so many processes: every
--- a/internal/sidecar/store.go
+++ b/internal/sidecar/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -67,9 +66,6 @@
 	if !seated {
 		log.Error("state file: more than two processes of this sidecar run")
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.read()
 	return s
 }
 
@@ -100,10 +96,11 @@
 	return err == nil && other.Type != unix.F_UNLCK
 }
 
-// state returns the last good state.
-func (s *store) state() shared {
+// look returns the state by the file as it is now.
+func (s *store) look() shared {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.read()
 	return s.last
 }
 
@@ -189,20 +186,3 @@
 	s.file, _ = os.Stat(s.path) // it is looked at again if that failed
 	return next, nil
 }
-
-// follow tells of the state and of a second process now and again, until ctx ends.
-func (s *store) follow(ctx context.Context, tell func(state shared, paired bool)) {
-	tick := time.NewTicker(followEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			s.mu.Lock()
-			s.read()
-			s.mu.Unlock()
-			tell(s.state(), s.paired())
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/internal/sidecar/store_test.go
+++ b/internal/sidecar/store_test.go
@@ -27,11 +27,8 @@
 	if _, err := b.update(func(s *shared) { s.Banned = []string{"s-1"} }); err != nil {
 		t.Fatal(err)
 	}
-	a.mu.Lock()
-	a.read()
-	a.mu.Unlock()
 	want := shared{Version: sharedVersion, Seq: 2, Drained: true, Banned: []string{"s-1"}}
-	if got := a.state(); !reflect.DeepEqual(got, want) {
+	if got := a.look(); !reflect.DeepEqual(got, want) {
 		t.Errorf("the first sees %+v, want %+v", got, want)
 	}
 	b.close()
@@ -39,7 +36,7 @@
 		t.Error("an ended process is still seen")
 	}
 	a.close()
-	if got := openStore(dir, "n/0", slog.New(slog.DiscardHandler)).state(); !reflect.DeepEqual(got, want) {
+	if got := openStore(dir, "n/0", slog.New(slog.DiscardHandler)).look(); !reflect.DeepEqual(got, want) {
 		t.Errorf("the next process sees %+v, want %+v", got, want)
 	}
 }
@@ -61,11 +58,9 @@
 			t.Fatal(err)
 		}
 		for range 2 {
-			s.mu.Lock()
-			s.read()
-			s.mu.Unlock()
+			s.look()
 		}
-		if got := s.state(); !reflect.DeepEqual(got, before) {
+		if got := s.look(); !reflect.DeepEqual(got, before) {
 			t.Errorf("%s: the state is %+v, want %+v", name, got, before)
 		}
 		if n := strings.Count(log.String(), "state file"); n != 1 {
@@ -80,15 +75,15 @@
 func TestStoreThatCannotBeWritten(t *testing.T) {
 	missing := t.TempDir() + "/none"
 	s := openStore(missing, "n0", slog.New(slog.DiscardHandler))
-	if _, err := s.update(func(s *shared) { s.Drained = true }); err == nil || s.state().Drained {
-		t.Errorf("a change that was not written: %v, %+v; want an error and no change", err, s.state())
+	if _, err := s.update(func(s *shared) { s.Drained = true }); err == nil || s.look().Drained {
+		t.Errorf("a change that was not written: %v, %+v; want an error and no change", err, s.look())
 	}
 	dir := t.TempDir()
 	s = openStore(dir, "n0", slog.New(slog.DiscardHandler))
 	if err := os.Mkdir(s.path+".new", 0o700); err != nil { // root may write anywhere, but not over a folder
 		t.Fatal(err)
 	}
-	if _, err := s.update(func(s *shared) { s.Drained = true }); err == nil || s.state().Drained {
-		t.Errorf("a change that was not written: %v, %+v; want an error and no change", err, s.state())
+	if _, err := s.update(func(s *shared) { s.Drained = true }); err == nil || s.look().Drained {
+		t.Errorf("a change that was not written: %v, %+v; want an error and no change", err, s.look())
 	}
 }
