Pass bodies and answers over 64 KiB through as they come

A client's time now runs from the last byte; waits are bounded by progress. The module is told of bodies on their way (Uploaded), of ones that cannot be sent again (Spent) and of answers begun (Headers).

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -220,6 +220,7 @@
 	Hint     Micros // expected work; used if HasHint
 	HasHint  bool
 	Retry    bool // the client marked it as a repetition
+	Upload   bool // its body still comes: Uploaded tells its end, from which its time runs
 	Write    bool
 	Tenant   uint16
 	Class    uint8
@@ -258,6 +259,7 @@
 	Status   Status
 	Latency  Micros
 	Settled  bool // the request has its final answer
+	Spent    bool // part of the request's body is gone: it cannot be sent again
 	Load     []float32
 }
 
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -100,7 +100,7 @@
 
 // maySend says whether the rules allow an attempt at e now.
 func (b *Balancer) maySend(now Micros, r *request, e *endpoint) bool {
-	if r.ended || r.stream || r.out > 0 || now >= r.Deadline ||
+	if r.ended || r.stream || r.spent || r.out > 0 || now >= r.Deadline ||
 		len(r.attempts) >= b.s.Limits.MaxAttempts || !e.usable() {
 		return false
 	}
@@ -130,12 +130,13 @@
 		expected: b.predict(now, e, r.work) / b.slowdown(now, e), factor: r.work * b.crowding(now, e),
 		out: true, mayRun: true})
 	r.out++
-	e.inflight++
 	e.dueAt = 0
-	e.sentAt = append(e.sentAt, now)
+	if !r.Upload { // a server begins a request with its last byte
+		r.attempts[len(r.attempts)-1].count(now)
+	}
 	b.sentWork.add(now, r.work)
 	b.out.Send(r.ID, e.ID, 0)
-	if len(r.attempts) == 1 {
+	if len(r.attempts) == 1 && !r.Upload {
 		b.out.Timer(max(1, r.Deadline-now), r.token)
 	}
 	return true
@@ -992,6 +993,19 @@
 	}
 }
 
+// Uploaded tells that the last byte of a request's body is sent. Its time begins.
+func (b *Balancer) Uploaded(now Micros, id uint64, deadline Micros) {
+	r := b.requests[id]
+	if r == nil || r.ended || !r.Upload {
+		return
+	}
+	r.Upload, r.arrived, r.Deadline = false, now, deadline
+	b.out.Timer(max(1, deadline-now), r.token)
+	if n := len(r.attempts); n > 0 && r.attempts[n-1].out {
+		r.attempts[n-1].count(now)
+	}
+}
+
 // Headers handles the start of a streamed answer: no deadline and no attempt concern it from here on.
 func (b *Balancer) Headers(now Micros, id uint64, attempt int, latency Micros) {
 	r := b.requests[id]
@@ -999,6 +1013,20 @@
 		return
 	}
 	r.stream = true
+	b.judge(now, r, true)
+}
+
+// judge learns whether a request's answer came while it was wanted.
+func (b *Balancer) judge(now Micros, r *request, answered bool) {
+	if answered && now-r.arrived <= b.class(r).Aim {
+		r.good = 1
+		b.passOf = passLeast
+		if r.pass { // a jam may be over: to tell so by one pass a second would take many seconds more
+			b.classes[r.Class].passed = 0
+		}
+	} else if r.pass {
+		b.passOf = min(2*b.passOf, passMost) // a jam needs rest: what is passed into it only keeps it
+	}
 }
 
 // Outcome handles the end of an attempt.
@@ -1010,19 +1038,16 @@
 	a := &r.attempts[o.Attempt]
 	a.out = false
 	r.out--
-	a.ep.settled(a.at)
+	if a.counted {
+		a.ep.settled(a.at)
+	}
+	r.spent = r.spent || o.Spent
 	if o.Status == Full || o.Status == ConnectFailed || o.Status == Moot {
 		a.mayRun = false
 	}
 	b.record(now, r, a, o.Status, o.Latency)
-	if o.Status == OK && !r.ended && now-r.arrived <= b.class(r).Aim {
-		r.good = 1
-		b.passOf = passLeast
-		if r.pass { // a jam may be over: to tell so by one pass a second would take many seconds more
-			b.classes[r.Class].passed = 0
-		}
-	} else if r.pass {
-		b.passOf = min(2*b.passOf, passMost) // a jam needs rest: what is passed into it only keeps it
+	if !r.stream {
+		b.judge(now, r, o.Status == OK && !r.ended)
 	}
 	if o.Settled || o.Status == OK || r.ended {
 		b.end(r)
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -637,3 +637,55 @@
 		}
 	}
 }
+
+// A request whose body still comes is in flight nowhere, and its time runs from its last byte. Once part of the body
+// is gone it is not sent again.
+func TestUploads(t *testing.T) {
+	b, r := start(t, testSettings(), ready(2))
+	in := request0(1, 0, 1000)
+	in.Upload = true
+	b.Request(1000, in)
+	if len(r.sends) != 1 {
+		t.Fatalf("sent %v, want one", r.sends)
+	}
+	e := b.byID[r.sends[0].endpoint]
+	if e.inflight != 0 {
+		t.Errorf("in flight while its body comes: %d", e.inflight)
+	}
+	for _, token := range r.timers {
+		b.Timer(10*second, token)
+	}
+	if len(r.refused)+len(r.failed) != 0 {
+		t.Fatal("ended while its body comes")
+	}
+	b.Uploaded(10*second, 1, 11*second)
+	if e.inflight != 1 {
+		t.Errorf("in flight after its last byte: %d", e.inflight)
+	}
+	b.Timer(11*second, b.requests[1].token)
+	if len(r.refused) != 1 {
+		t.Error("not ended when its time is up")
+	}
+	b.Outcome(11*second, Outcome{ID: 1, Endpoint: e.ID, Status: Cancelled, Settled: true})
+	if e.inflight != 0 || len(e.sentAt) != 0 {
+		t.Errorf("in flight after its end: %d", e.inflight)
+	}
+
+	b, r = start(t, testSettings(), ready(3))
+	in = request0(2, 0, 1000)
+	in.Upload = true
+	b.Request(1000, in)
+	b.Outcome(2000, Outcome{ID: 2, Status: ConnectFailed})
+	if len(r.sends) != 2 {
+		t.Fatalf("sent %v, want a second try with the whole body", r.sends)
+	}
+	b.Outcome(3000, Outcome{ID: 2, Attempt: 1, Status: ConnectFailed, Spent: true})
+	if len(r.sends) != 2 || len(r.refused) != 1 {
+		t.Errorf("sent %v, refused %v; want no third try and a refusal", r.sends, r.refused)
+	}
+	for id, e := range b.byID {
+		if e.inflight != 0 {
+			t.Errorf("endpoint %d: %d in flight at the end", id, e.inflight)
+		}
+	}
+}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -87,6 +87,7 @@
 	pass     bool    // it was sent although it seemed too late
 	good     float64 // 1 once answered within its aim
 	held     bool    // it waits for probes
+	spent    bool    // it cannot be sent again
 	awaits   []*endpoint
 }
 
@@ -99,6 +100,7 @@
 	expected float64 // latency predicted when sent, but for the trend
 	factor   float64 // work times the crowding seen when sent
 	out      bool    // no outcome yet
+	counted  bool    // in flight there: its body is sent
 	mayRun   bool    // it may have had its effect, or may yet
 }
 
@@ -229,7 +231,7 @@
 	// The high bits count uses of the slot, so that an old timer finds nothing.
 	r.token += 1 << slotBits
 	r.Request, r.arrived, r.attempts, r.out, r.ended, r.stream = in, now, r.attempts[:0], 0, false, false
-	r.good, r.pass, r.held, r.awaits = 0, false, false, r.awaits[:0]
+	r.good, r.pass, r.held, r.spent, r.awaits = 0, false, false, false, r.awaits[:0]
 	b.requests[in.ID] = r
 	b.open++
 	return r
@@ -250,6 +252,13 @@
 // usable says whether requests may be sent to e at all.
 func (e *endpoint) usable() bool { return e.State == Ready && !e.banned }
 
+// count counts an attempt whose request has been sent.
+func (a *attempt) count(at Micros) {
+	a.at, a.counted = at, true
+	a.ep.inflight++
+	a.ep.sentAt = append(a.ep.sentAt, at)
+}
+
 // settled ends the count of an attempt that was sent at an instant.
 func (e *endpoint) settled(at Micros) {
 	e.inflight--
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -36,6 +36,8 @@
 	Start(now balancer.Micros)
 	Members(now balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint)
 	Request(now balancer.Micros, in balancer.Request)
+	Uploaded(now balancer.Micros, id uint64, deadline balancer.Micros)
+	Headers(now balancer.Micros, id uint64, attempt int, latency balancer.Micros)
 	Outcome(now balancer.Micros, o balancer.Outcome)
 	ClientGone(now balancer.Micros, id uint64)
 	Timer(now balancer.Micros, token uint32)
@@ -88,8 +90,9 @@
 	id       uint64
 	message  *message
 	deadline balancer.Micros
-	answer   chan answer // takes the one final answer
-	over     bool        // the final answer is out, or the client is gone
+	left     balancer.Micros // from the last byte of a body that still comes to the deadline
+	answer   chan answer     // takes the one final answer
+	over     bool            // the final answer is out, or the client is gone
 	attempts []context.CancelFunc
 	out      int // attempts without outcome
 }
@@ -100,6 +103,7 @@
 	retryAfter balancer.Micros
 	header     http.Header
 	body       []byte
+	stream     *stream // the rest of the body, or nil
 }
 
 func newLoop(ctx context.Context, cfg *Config, log *slog.Logger) (*loop, error) {
@@ -195,9 +199,37 @@
 		r.over = true
 		l.balancer.ClientGone(now, r.id)
 		l.forget(r)
+		return
+	}
+	select {
+	case a := <-r.answer: // it crossed the client's going, and nobody takes it
+		if a.stream != nil {
+			a.stream.done <- &clientError{error: errGone}
+		}
+	default:
+	}
+}
+
+// errGone says that a client left before its answer.
+var errGone = errors.New("the client is gone")
+
+// uploaded tells that the last byte of a request's body was sent on.
+func (l *loop) uploaded(now balancer.Micros, r *request) {
+	if !r.over {
+		l.balancer.Uploaded(now, r.id, r.deadline)
 	}
 }
 
+// stream gives the beginning of an answer that is passed on as it comes, as the final one.
+func (l *loop) stream(now balancer.Micros, r *request, attempt int, latency balancer.Micros, a answer) {
+	if r.over {
+		a.stream.done <- &clientError{error: errGone}
+		return
+	}
+	l.balancer.Headers(now, r.id, attempt, latency)
+	l.finish(r, a)
+}
+
 // outcome tells how an attempt ended: exactly once for each, also after the
 // request's end, when the balancer still learns from it.
 func (l *loop) outcome(now balancer.Micros, r *request, o balancer.Outcome, res result) {
@@ -211,7 +243,7 @@
 	} else if res.fault != 0 {
 		l.finish(r, answer{code: res.fault})
 	}
-	o.Settled = r.over
+	o.Settled, o.Spent = r.over, r.message.spent()
 	l.balancer.Outcome(now, o)
 	l.forget(r)
 }
@@ -335,18 +367,44 @@
 	if timeout > 0 {
 		until = min(until, now+timeout)
 	}
-	ctx, cancel := context.WithDeadline(l.ctx, l.clock.time(until))
+	life, cancel := context.WithCancel(l.ctx)
 	o := balancer.Outcome{ID: id, Attempt: len(r.attempts), Endpoint: endpoint}
 	r.attempts = append(r.attempts, cancel)
 	r.out++
+	began, ended := now, balancer.Micros(0) // what counts as the attempt's time
+	p := &passage{life: life,
+		uploaded: func() time.Time {
+			began = l.clock.now()
+			deadline := began + r.left
+			l.post(func(at balancer.Micros) {
+				r.deadline = deadline
+				l.uploaded(at, r)
+			})
+			return l.clock.time(deadline)
+		},
+		answer: func(h *http.Response, kept []byte, s *stream) {
+			ended = l.clock.now()
+			latency := ended - began
+			l.post(func(at balancer.Micros) {
+				l.stream(at, r, o.Attempt, latency, answer{code: http.StatusOK, header: h.Header, body: kept, stream: s})
+			})
+		}}
 	go func() {
+		defer cancel()
 		res := result{status: balancer.Moot}
 		if t != nil {
-			res = l.up.attempt(ctx, t, r.message)
+			ctx, stop := life, context.CancelFunc(func() {})
+			if r.message.rest == nil { // else its time begins with its last byte
+				ctx, stop = context.WithDeadline(life, l.clock.time(until))
+			}
+			res = l.up.attempt(ctx, t, r.message, p)
+			stop()
 		}
-		cancel()
 		l.post(func(at balancer.Micros) {
-			o.Status, o.Load, o.Latency = res.status, res.load, at-now
+			if ended == 0 {
+				ended = at
+			}
+			o.Status, o.Load, o.Latency = res.status, res.load, ended-began
 			l.outcome(at, r, o, res)
 		})
 	}()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -33,7 +32,6 @@
 	busyRetry    = time.Second             // wait told to clients that find all connections in use
 	timeLeftMost = time.Minute             // that a request gets
 	reportEvery  = time.Second             // between log lines of what the sidecar holds
-	readTimeout  = 2 * time.Second         // for a whole request: a peer without a proper one is owed an end within 3 s
 	writeTimeout = 2 * time.Second         // for an answer, from its first byte on
 	idleTimeout  = 10 * time.Second        // between a client's requests
 )
@@ -288,7 +286,7 @@
 			s.request(w, in)
 		}
 	}
-	s.http = http.Server{Handler: http.HandlerFunc(handler), ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+	s.http = http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: paceSlack, IdleTimeout: idleTimeout,
 		WriteTimeout: timeLeftMost + writeTimeout, MaxHeaderBytes: headMost, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn),
 		ConnState: s.clients.note, ConnContext: s.clients.name}
 	return s
@@ -377,7 +375,8 @@
 		// any chunked request is the last on its connection (RFC 9112, 6.1).
 		w.Header().Set("Connection", "close")
 	}
-	req, body, err := s.read(w, in, arrived)
+	control := http.NewResponseController(w)
+	req, m, err := s.read(in, control)
 	if err != nil {
 		s.logRequest("improper request", in, "error", err)
 		w.Header().Set("Connection", "close") // such peers keep what they are left, and clients need the room
@@ -385,26 +384,23 @@
 		return
 	}
 	s.clients.proper(in.Context())
-	// From here on a read only watches for the client's going, however long the
-	// answer takes.
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		panic(http.ErrAbortHandler) // the connection is gone
+	if m.rest != nil {
+		// An answer that comes before the body's end is owed at once: else the server would read on first.
+		if err := control.EnableFullDuplex(); err != nil {
+			panic(http.ErrAbortHandler) // the connection is gone
+		}
 	}
-	r := &request{answer: make(chan answer, 1),
-		message: &message{method: in.Method, url: in.URL, host: in.Host, header: in.Header, body: body}}
+	r := &request{answer: make(chan answer, 1), message: m, left: req.Deadline - s.loop.clock.now()}
 	s.loop.post(func(now balancer.Micros) { s.loop.take(now, r, req) })
 	select {
 	case a := <-r.answer:
-		if a.code != http.StatusOK {
-			s.ended(in, arrived, a.code)
-		}
-		if s.leaving() {
-			w.Header().Set("Connection", "close")
-		}
-		control.SetWriteDeadline(time.Now().Add(writeTimeout)) // the write tells of a connection that is gone
-		writeAnswer(w, a)
+		s.give(w, in, control, m, arrived, a)
 	case <-in.Context().Done():
+		if m.rest != nil && !m.rest.whole.Load() {
+			// The body could not be read on. That ends the attempt, and its answer is on its way.
+			s.give(w, in, control, m, arrived, <-r.answer)
+			return
+		}
 		s.ended(in, arrived, 0)
 		s.loop.post(func(now balancer.Micros) { s.loop.gone(now, r) })
 		// A client that has only stopped sending must not read a whole answer
@@ -413,24 +409,63 @@
 	}
 }
 
-// read reads a request to its end.
-func (s *server) read(w http.ResponseWriter, in *http.Request, arrived balancer.Micros) (balancer.Request, []byte, *badRequest) {
+// give writes the final answer.
+func (s *server) give(w http.ResponseWriter, in *http.Request, control *http.ResponseController, m *message, arrived balancer.Micros, a answer) {
+	if a.code != http.StatusOK {
+		s.ended(in, arrived, a.code)
+	}
+	if s.leaving() || m.rest != nil && !m.rest.whole.Load() { // what is not read of its body stands before the next request
+		w.Header().Set("Connection", "close")
+	}
+	if a.stream != nil {
+		s.stream(w, in, control, a)
+		return
+	}
+	control.SetWriteDeadline(time.Now().Add(writeTimeout)) // the write tells of a connection that is gone
+	writeAnswer(w, a)
+}
+
+// stream passes an answer on as it comes. Where that fails the client can tell that the answer is not whole.
+func (s *server) stream(w http.ResponseWriter, in *http.Request, control *http.ResponseController, a answer) {
+	endToEnd(w.Header(), a.header)
+	if a.stream.length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(a.stream.length, 10))
+	}
+	err := passOn(w, control, a.body, a.stream)
+	a.stream.done <- err // it has room for the one
+	if err != nil {
+		s.logRequest("answer broken off", in, "error", err)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// read reads a request to its end, or as far as its body is kept.
+func (s *server) read(in *http.Request, control *http.ResponseController) (balancer.Request, *message, *badRequest) {
 	if !in.ProtoAtLeast(1, 1) {
 		// HTTP/1.0 has no chunked coding: the parser takes such a body for the next request.
 		return balancer.Request{}, nil, &badRequest{http.StatusHTTPVersionNotSupported, "the version must be 1.1"}
 	}
-	req, err := s.parse(in, arrived)
+	req, err := s.parse(in)
 	if err != nil {
 		return req, nil, err
 	}
-	body, failed := io.ReadAll(http.MaxBytesReader(w, in.Body, bodyMost))
-	var large *http.MaxBytesError
-	if errors.As(failed, &large) {
-		return req, nil, &badRequest{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is over %d bytes", bodyMost)}
-	} else if failed != nil {
-		return req, nil, bad("the body could not be read: %v", failed)
+	if in.ContentLength > requestMost {
+		return req, nil, &badRequest{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is over %d bytes", requestMost)}
+	}
+	m := &message{method: in.Method, url: in.URL, host: in.Host, header: in.Header}
+	body, whole := &clientBody{in: in.Body, control: control, length: in.ContentLength}, false
+	if in.ContentLength <= bodyMost {
+		var failed error
+		if m.body, whole, failed = body.keep(bodyMost); failed != nil {
+			return req, nil, &badRequest{body.err.code, failed.Error()}
+		}
+	}
+	if !whole {
+		m.rest, req.Upload = body, true
 	}
-	return req, body, nil
+	// The request's time runs from its last byte.
+	req.Deadline += s.loop.clock.now()
+	return req, m, nil
 }
 
 // ended logs a request that was not served; code 0 stands for a client that
@@ -456,8 +491,8 @@
 	w.Write(a.body) // a client that is gone by now needs no answer
 }
 
-// parse reads the headers of a request.
-func (s *server) parse(in *http.Request, arrived balancer.Micros) (balancer.Request, *badRequest) {
+// parse reads the headers of a request. Its deadline is told as the time left.
+func (s *server) parse(in *http.Request) (balancer.Request, *badRequest) {
 	var req balancer.Request
 	h := in.Header
 	if h.Get("X-Correlation-Id") == "" {
@@ -485,7 +520,7 @@
 		return req, bad("X-Time-Left-Ms: %q is not a whole number of milliseconds", h.Get("X-Time-Left-Ms"))
 	}
 	left = min(left, timeLeftMost.Milliseconds())
-	req.Deadline = arrived + left*1000 - answerMargin.Microseconds()
+	req.Deadline = left*1000 - answerMargin.Microseconds()
 	if len(s.tenants) > 0 {
 		if req.Tenant, ok = s.tenants[h.Get("X-Account")]; !ok {
 			return req, bad("X-Account: %q is not a known tenant", h.Get("X-Account"))
