Give what is cold an even part of its capacity, however much is refused

Ruled out: descriptors (upstream 49 of 168), the loop (0 events wait), bans beyond those in force, the breaker. At fault: coldRoom filled by what this sidecar sends to a warm endpoint. One that refuses sends nothing, so it may not use what is cold, and refuses for that.

The budget is now at least an even part, by sidecars and processes, of what a cold endpoint can do. Two processes of an upgrade count as one (Share).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -29,7 +29,7 @@
 		return nil, err
 	}
 	b := &Balancer{
-		s: s, out: out, rng: source(seed),
+		s: s, out: out, rng: source(seed), processes: 1,
 		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, bans: map[uint32]Micros{},
 		recalls: map[uint32]Micros{}, logged: map[string]Micros{},
 		classes: make([]classStats, len(s.Classes)), tenants: make([]meter, len(s.Tenants)),
@@ -248,9 +248,11 @@
 	}
 }
 
-// A cold endpoint gets at most a share of its warmth's part of our own mean work per warm endpoint. All
-// balancers doing so, their sum stays under what it can do; none needs to know of the others. Each send
-// is charged a little more than its work, for the handshake that it may cost.
+// A cold endpoint gets at most a share of its warmth's part of our own mean work per warm endpoint, or of an
+// even part of what a warm one can do, if that is more. All balancers doing so, their sum stays under twice
+// what it can do; none needs to know of the others. By the first alone, one that refuses most would leave
+// what is cold idle, and refuse for that. Each send is charged a little more than its work, for the handshake
+// that it may cost.
 const (
 	coldShare  = 0.28 // of the multiple at which it falls over
 	coldCharge = 1.15
@@ -272,7 +274,8 @@
 	if warm == 0 { // nothing to compare with: an even share of what is asked
 		warm, rate = ready, b.demand.rate(now)*work
 	}
-	fill := min(1, coldShare*b.s.Contract.FallMultiple) * e.warmth(now, b) * rate / max(1, warm)
+	even := b.width(e) * float64(second) / float64(b.s.Balancers*b.processes)
+	fill := min(1, coldShare*b.s.Contract.FallMultiple) * e.warmth(now, b) * max(rate/max(1, warm), even)
 	most := max(fill*float64(b.s.Contract.OverloadFor)/float64(second)/2, work*coldCharge)
 	e.room = min(most, e.room+fill*float64(now-e.roomAt)/float64(second))
 	e.roomAt = now
@@ -314,6 +317,9 @@
 	b.probe(now, e)
 }
 
+// Share tells how many processes act for this balancer, each with a part of its traffic, as in an upgrade.
+func (b *Balancer) Share(processes int) { b.processes = processes }
+
 // due returns an endpoint that was called back and has got nothing for too long, if r may go there. Its first
 // request need not be saved up where those of all balancers together are no more than it bears when coldest.
 func (b *Balancer) due(now Micros, r *request) *endpoint {
@@ -323,7 +329,7 @@
 			continue
 		}
 		bears := c.ColdFrom * coldShare * c.FallMultiple * float64(c.OverloadFor) * b.width(e)
-		if float64(b.s.Balancers)*first <= bears {
+		if float64(b.s.Balancers*b.processes)*first <= bears {
 			e.room = max(e.room, first)
 		}
 		if b.maySend(now, r, e) {
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -706,8 +706,10 @@
 // A quiet balancer earns one send to a cold endpoint in minutes: all must not start from nothing.
 func TestSliversTogetherServeColdEndpoints(t *testing.T) {
 	allowed, all := 0, 200
+	s := testSettings()
+	s.Balancers = all
 	for seed := range all {
-		b, err := New(testSettings(), uint64(seed), &recorder{})
+		b, err := New(s, uint64(seed), &recorder{})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -12,6 +12,8 @@
 	out Actions
 	rng source
 
+	processes int // that act for this balancer
+
 	requests map[uint64]*request // every request with an attempt out or no final answer
 	slots    []*request          // by timer slot
 	free     []*request          // records to use again
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -43,6 +43,7 @@
 	Timer(now balancer.Micros, token uint32)
 	Probed(now balancer.Micros, endpoint uint32, status balancer.Status, latency balancer.Micros, load []float32)
 	Told(now balancer.Micros, data []byte)
+	Share(processes int)
 	Ban(now balancer.Micros, id uint32)
 	Unban(now balancer.Micros, id uint32)
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -168,6 +168,9 @@
 	s.applying.Lock()
 	defer s.applying.Unlock()
 	if paired != s.paired || !s.divided {
+		if err := s.loop.urge(func(balancer.Micros) { s.loop.balancer.Share(processes(paired)) }); err != nil {
+			return err
+		}
 		s.divide(paired)
 	}
 	if state.Seq <= s.applied {
@@ -197,12 +200,18 @@
 	}
 }
 
+func processes(paired bool) int {
+	if paired {
+		return 2
+	}
+	return 1
+}
+
 // divide keeps this process to its part of the platform's limits: all of them, or half while another runs. A process
 // that was alone cannot give back at once what its clients hold, and they leave it soon: their number stays.
 func (s *server) divide(paired bool) {
-	cfg, parts := s.loop.cfg, 1
+	cfg, parts := s.loop.cfg, processes(paired)
 	if paired {
-		parts = 2
 		s.loop.log.Info("another process of this sidecar runs; limits are shared")
 	}
 	most := connections(cfg, parts)
