Learn a request's work from cold endpoints by their warmth

At fault: learnPace took a cold endpoint's time as work (balancer.go), while the pace beside it was taken by its warmth.

Fails without it: TestWorkIsNotLearnedFromColdness.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -1112,7 +1112,7 @@
 	if !r.HasHint && a.factor <= r.work && !b.workTold() {
 		// Without hints a class's work is its mean latency on an endpoint without a queue. Elsewhere it would be
 		// learned by the queue assumed there, which is itself told by work: the two would feed each other.
-		b.classes[r.Class].work.add(x*r.work, workWeight)
+		b.classes[r.Class].work.add(x*warmth*r.work, workWeight)
 	}
 	if !e.isCold {
 		b.zones[e.Zone].pace.add(x, fleetWeight)
--- a/balancer/cold_test.go
+++ b/balancer/cold_test.go
@@ -30,3 +30,20 @@
 		t.Errorf("for each of 200 balancers %.0f µs, want a hundredth of %.0f", many, alone)
 	}
 }
+
+// A cold endpoint's slowness is no work of the request's.
+func TestWorkIsNotLearnedFromColdness(t *testing.T) {
+	b, _ := start(t, testSettings(), ready(1)[:1])
+	b.Members(second, ListDelta, []Endpoint{{ID: 1, Share: 1, StartTime: second}})
+	before := b.classes[0].work.v
+	e := b.byID[1]
+	for i := range 100 {
+		now := second + Micros(i)*10_000
+		r := &request{Request: Request{ID: 1}, work: before}
+		a := &attempt{ep: e, factor: before, expected: before / e.warmth(now, b)}
+		b.learnPace(now, r, a, before/e.warmth(now, b), false)
+	}
+	if got := b.classes[0].work.v; got > 1.01*before || got < 0.99*before {
+		t.Errorf("work went from %.0f to %.0f by answers that were slow by coldness alone", before, got)
+	}
+}
