Let the new process of an upgrade take all clients that there can be

At fault: divide halved its bound, and clients.evict closed connections whose first request was not read yet. Ruled out: the accept queue (steered), upstream connections (no 'no connection is left' in the logs).

Clients hold a third of the descriptors at most, over both processes: that is the newcomer's bound. Fails without it: TestNewcomerTurnsNoClientBack.

--- a/internal/sidecar/ops_test.go
+++ b/internal/sidecar/ops_test.go
@@ -275,3 +275,21 @@
 		t.Errorf("carried out in the order %v, want the call first", order)
 	}
 }
+
+// A process beside another takes all clients that there can be: soon they all come to it.
+func TestNewcomerTurnsNoClientBack(t *testing.T) {
+	w := start(t, nil, ready("s-1", newEndpoint(t, always(served)).address))
+	w.server.clients.mu.Lock()
+	w.server.clients.rest = 0 // what is at rest may be closed at once where room is short
+	w.server.clients.mu.Unlock()
+	w.server.divide(true)
+	var clients []*kept
+	for range w.loop.cfg.Limits.Sockets / clientsPart {
+		clients = append(clients, w.keep())
+	}
+	for _, k := range clients {
+		if got := k.ask(); got.StatusCode != http.StatusOK || got.Close {
+			t.Fatalf("a client of %d: %d, close %v", len(clients), got.StatusCode, got.Close)
+		}
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -33,6 +33,7 @@
 	timeLeftMost = time.Minute             // that a request gets
 	reportEvery  = time.Second             // between log lines of what the sidecar holds
 	writeTimeout = 2 * time.Second         // for an answer, from its first byte on
+	clientsPart  = 3                       // one part in so many of the descriptors is the most that clients hold
 	idleTimeout  = 10 * time.Second        // between a client's requests
 )
 
@@ -207,8 +208,9 @@
 	return 1
 }
 
-// divide keeps this process to its part of the platform's limits: all of them, or half while another runs. A process
-// that was alone cannot give back at once what its clients hold, and they leave it soon: their number stays.
+// divide keeps this process to its part of the platform's limits: all of them, or half while another runs. But
+// clients hold a third of the descriptors at most, in whichever process: a process that was alone cannot give them
+// back at once, and soon all of them come to the newcomer, which must not turn them back.
 func (s *server) divide(paired bool) {
 	cfg, parts := s.loop.cfg, processes(paired)
 	if paired {
@@ -216,8 +218,10 @@
 	}
 	most := connections(cfg, parts)
 	s.loop.up.bound(most)
-	if !s.divided || !paired {
+	if !paired {
 		s.clients.bound(most)
+	} else if !s.divided {
+		s.clients.bound(min(connections(cfg, 1), cfg.Limits.Sockets/clientsPart))
 	}
 	s.paired, s.divided = paired, true
 	// The heap stays under the limit at which the platform kills the process, with room for what the runtime does
