Expect no more of a just started endpoint than the fleet's pace allows for

With the state of every endpoint logged: three called back at home are idle, have room, and are expected to take 5 s, for 10 s; their pace is 6.6, as is that of the only warm endpoint of their zone, which is slow. Ruled out: their cold budget (0.5 s of work unused), the breaker (chance 0), the list. At fault: paceNow, which took the zone's pace for one without answers of its own.

Fails without it: TestOneSlowEndpointIsNotItsZone.

--- a/balancer/cold_test.go
+++ b/balancer/cold_test.go
@@ -47,3 +47,31 @@
 		t.Errorf("work went from %.0f to %.0f by answers that were slow by coldness alone", before, got)
 	}
 }
+
+// Where all that is warm of a zone is slow, what has just started there is not taken for slow.
+func TestOneSlowEndpointIsNotItsZone(t *testing.T) {
+	b, _ := start(t, testSettings(), ready(6)) // two a zone
+	learn := func(id uint32, latency float64, times int) {
+		e := b.byID[id]
+		for range times {
+			work := b.classes[0].work.v
+			b.learnPace(second, &request{work: work}, &attempt{ep: e, factor: work, expected: latency}, latency, false)
+		}
+	}
+	for id := range uint32(6) {
+		learn(id+1, 80_000, 200)
+	}
+	usual := b.byID[1].paceNow(second, b)
+	b.Members(second, ListDelta, []Endpoint{{ID: 2, Share: 1, StartTime: second}})
+	for range 200 { // a tenth of all requests go to the slow one
+		learn(1, 400_000, 1)
+		learn(3, 80_000, 9)
+	}
+	fresh := b.byID[2]
+	if got := fresh.paceNow(second, b) * fresh.warmth(second, b); got > 2*usual {
+		t.Errorf("a new endpoint beside a slow one is expected at a pace of %.2f, the fleet's is %.2f", got, usual)
+	}
+	if got := b.byID[1].paceNow(second, b); got < 3*usual {
+		t.Errorf("the slow one itself is expected at %.2f, the fleet's pace is %.2f", got, usual)
+	}
+}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -39,6 +39,7 @@
 	classes  []classStats
 	tenants  []meter // requests taken, by tenant
 	zones    [256]zoneStats
+	pace     ewma    // of all warm endpoints
 	demand   meter   // requests taken
 	sentWork meter   // work sent
 	refused  ewma    // share of requests refused at arrival
@@ -60,7 +61,7 @@
 type zoneStats struct {
 	way     ewma    // least time of a probe there and back
 	usual   ewma    // load of others at an endpoint, over all answers
-	pace    ewma    // of all warm endpoints
+	pace    ewma    // of its warm endpoints
 	trend   float64 // latencies over those predicted
 	trendAt Micros  // when it was last learned
 }
