Pass on an answer's first bytes though its next chunk is slow in coming

At fault: conn.gather (upstream.go) looked whether a byte was there and then read without an end; that byte may be the end of a chunk, or half the next one's head, and the body's reader waits for the rest of it. A deadline on that read is no way out: the chunked reader does not survive one.

The wait now ends beneath the body's reader, which goes on: what was read before begins the stream, and what the read brings goes through a pipe. The test now stops amid a chunk's head, and fails without the change every time.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -205,7 +205,7 @@
 	select {
 	case a := <-r.answer: // it crossed the client's going, and nobody takes it
 		if a.stream != nil {
-			a.stream.done <- &clientError{error: errGone}
+			a.stream.end(&clientError{error: errGone})
 		}
 	default:
 	}
@@ -224,7 +224,7 @@
 // stream gives the beginning of an answer that is passed on as it comes, as the final one.
 func (l *loop) stream(now balancer.Micros, r *request, attempt int, latency balancer.Micros, a answer) {
 	if r.over {
-		a.stream.done <- &clientError{error: errGone}
+		a.stream.end(&clientError{error: errGone})
 		return
 	}
 	l.balancer.Headers(now, r.id, attempt, latency)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -445,7 +445,7 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(a.stream.length, 10))
 	}
 	err := passOn(w, control, a.body, a.stream)
-	a.stream.done <- err // it has room for the one
+	a.stream.end(err)
 	if err != nil {
 		s.logRequest("answer broken off", in, "error", err)
 		panic(http.ErrAbortHandler)
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -124,9 +124,15 @@
 
 // stream is an answer that is passed on as it comes.
 type stream struct {
-	length int64     // -1 where the endpoint did not tell
-	more   io.Reader // beyond what is kept in the answer
-	done   chan error
+	length int64         // -1 where the endpoint did not tell
+	more   io.ReadCloser // beyond what is kept in the answer
+	done   chan error    // has room for the one
+}
+
+// end tells the endpoint's side how the client's side ended.
+func (s *stream) end(err error) {
+	s.more.Close()
+	s.done <- err
 }
 
 // passage is what an attempt needs to pass on more than it can keep.
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -174,6 +174,9 @@
 			}
 			data, _ := io.ReadAll(&pattern{end: size})
 			body.Write(data[:10])
+			if name == "in chunks" {
+				io.WriteString(conn, "00") // the beginning of the next one's head
+			}
 			<-goOn
 			for _, b := range data[10:1000] {
 				body.Write([]byte{b})
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -58,6 +58,7 @@
 	reader *bufio.Reader
 	limit  io.LimitedReader // of an answer
 	idleAt time.Time
+	waited func() bool // if set, a read whose deadline passes goes on if this says so
 }
 
 // until sets a deadline for what is read and written next, unless the attempt is over.
@@ -237,7 +238,7 @@
 		return nil, err
 	}
 	c = &conn{Conn: raw, target: t}
-	c.limit.R = raw
+	c.limit.R = patient{c}
 	c.reader = bufio.NewReader(&c.limit)
 	return c, nil
 }
@@ -420,70 +421,122 @@
 			break
 		}
 	}
-	whole := true
-	if p != nil && response.StatusCode == http.StatusOK {
+	if p == nil || response.StatusCode != http.StatusOK {
+		if body, err = io.ReadAll(io.LimitReader(response.Body, bodyMost+1)); err != nil {
+			return nil, nil, err
+		}
+		if len(body) > bodyMost {
+			return nil, nil, fmt.Errorf("the answer's body is over %d bytes", bodyMost)
+		}
+	} else {
 		c.limit.N, limit = math.MaxInt64, math.MaxInt64 // what is kept bounds itself, however small its chunks
-		body, whole, err = c.gather(ctx, response)
-	} else if body, err = io.ReadAll(io.LimitReader(response.Body, bodyMost+1)); len(body) > bodyMost {
-		err = fmt.Errorf("the answer's body is over %d bytes", bodyMost)
-	}
-	if err != nil {
-		return nil, nil, err
-	}
-	if !whole {
-		if !stop() {
-			return nil, nil, ctx.Err()
+		lift := func() bool {                           // the time was for the first bytes
+			if !stop() {
+				return false
+			}
+			ctx = p.life
+			guard(ctx)
+			c.until(ctx, time.Now().Add(stallServer))
+			return true
 		}
-		ctx = p.life // the time was for the first bytes
-		guard(ctx)
-		s := &stream{length: response.ContentLength, more: &endpointBody{c, ctx, response.Body}, done: make(chan error, 1)}
-		p.answer(response, body, s)
-		if err = <-s.done; err != nil {
+		var s *stream
+		if body, s, err = c.gather(ctx, response, p, lift); s != nil {
+			if failed := <-s.done; failed != nil {
+				err = failed // the client's failure, or what the client was told of the endpoint's
+			}
+			body = nil
+		}
+		if err != nil {
 			return nil, nil, err
 		}
 		c.until(ctx, time.Time{})
-		body = nil
 	}
 	keep = !response.Close && c.reader.Buffered() == 0
 	return response, body, nil
 }
 
-// gather reads the body of an answer as far as it is kept: all of it, or the beginning of one that is too long or
-// that does not end soon and has no length.
-func (c *conn) gather(ctx context.Context, response *http.Response) (kept []byte, whole bool, err error) {
+// gather reads the body of an answer: all of it, or, if it is too long to be kept or neither has a length nor ends
+// soon, as much as is handed on with the beginning of a stream. Lift ends the request's deadline for that.
+func (c *conn) gather(ctx context.Context, response *http.Response, p *passage, lift func() bool) (kept []byte, s *stream, err error) {
+	rest := &endpointBody{c, p.life, response.Body}
+	begin := func(more io.ReadCloser) {
+		s = &stream{length: response.ContentLength, more: more, done: make(chan error, 1)}
+		p.answer(response, kept, s)
+	}
 	if response.ContentLength > bodyMost {
-		return nil, false, nil
+		if !lift() {
+			return nil, nil, ctx.Err()
+		}
+		begin(io.NopCloser(rest))
+		return nil, s, nil
 	}
 	if response.ContentLength >= 0 {
 		kept, err = io.ReadAll(response.Body)
-		return kept, true, err
-	}
-	until := time.Now().Add(keepFor)
-	defer func() {
-		if err == nil {
-			c.until(ctx, time.Time{})
+		return kept, nil, err
+	}
+	// The wait may end amid a read, which a body's reader does not survive: what comes of that read goes on through
+	// a pipe.
+	var out *io.PipeWriter
+	c.waited = func() bool {
+		if ctx.Err() != nil || !lift() {
+			return false
 		}
-	}()
+		var in *io.PipeReader
+		in, out = io.Pipe()
+		begin(in)
+		return true
+	}
+	c.until(ctx, time.Now().Add(keepFor))
 	buffer := buffers.Get().(*[bufferBytes]byte)
 	defer buffers.Put(buffer)
-	for len(kept) < bodyMost && time.Now().Before(until) {
-		c.until(ctx, until)
-		if _, err := c.reader.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil {
-			break // only this wait is over: the body's own reader has seen nothing of it
-		} else if err != nil && err != io.EOF {
-			return nil, false, err
+	for body := io.Reader(response.Body); ; {
+		n, err := body.Read(buffer[:])
+		if s == nil {
+			kept = append(kept, buffer[:n]...)
+		} else {
+			body = rest
+			if _, failed := out.Write(buffer[:n]); failed != nil {
+				return kept, s, nil // the client's end tells why
+			}
 		}
-		c.until(ctx, time.Time{})
-		n, err := response.Body.Read(buffer[:min(bufferBytes, bodyMost-len(kept))])
-		kept = append(kept, buffer[:n]...)
-		if err == io.EOF {
-			return kept, true, nil
+		if err != nil || s == nil && len(kept) >= bodyMost {
+			c.waited = nil // before anyone else reads here
 		}
-		if err != nil {
-			return nil, false, err
+		switch {
+		case err == io.EOF:
+			if out != nil {
+				out.Close()
+			}
+			return kept, s, nil
+		case err != nil:
+			if out != nil {
+				out.CloseWithError(err)
+			}
+			return kept, s, err
+		case s == nil && len(kept) >= bodyMost:
+			if !lift() {
+				return nil, nil, ctx.Err()
+			}
+			begin(io.NopCloser(rest))
+			return kept, s, nil
+		}
+	}
+}
+
+// patient reads from a connection. A wait that ends may not be the end of the read.
+type patient struct{ *conn }
+
+func (r patient) Read(p []byte) (int, error) {
+	for {
+		n, err := r.Conn.Read(p)
+		waited := r.waited
+		if n > 0 || waited == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if r.waited = nil; !waited() {
+			return n, err
 		}
 	}
-	return kept, false, nil
 }
 
 // pass writes a request whose body still comes from the client. It never ran if this fails: its last byte was not
