End a process amid long bodies without losing or resetting a request

Three causes, each shown by a test that fails without its mend: - end gave up amid long answers at the classes' deadline, and http.Shutdown closed connections on which half a head had come (TestTerminationAmidALongAnswer, TestTerminationAmidAHead). When something was last read does not tell that: a client may begin before the server counts its last request as done (TestRequestBegunBeforeTheLastIsDone). - A refusal amid a body was lost to a reset, as its connection was closed with some of the body unread (TestRefusedAmidABody). The sidecar lingers, slowly: reading on at once took up to 1.5 s of processor time a second. - What came whole long after SIGTERM was taken and found unanswered by SIGKILL. Ruled out: the accept queue, eviction (a line for each closed connection showed none), the pace of clients.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -15,6 +14,9 @@
 // the sidecar may close it for want of room.
 const restLeast = 2 * time.Second
 
+// freshLeast is how long a new connection is left to send its first byte before it counts as at rest.
+const freshLeast = 500 * time.Millisecond
+
 // clients keeps the connections that clients hold, and bounds their number.
 type clients struct {
 	most int
@@ -43,7 +45,6 @@
 
 type clientConn struct {
 	net.Conn
-	readAt atomic.Int64 // Unix time in nanoseconds
 
 	mu      sync.Mutex
 	framing framing
@@ -54,7 +55,6 @@
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.readAt.Store(time.Now().UnixNano())
 		c.mu.Lock()
 		c.framing.read(p[:n])
 		c.mu.Unlock()
@@ -62,6 +62,14 @@
 	return n, err
 }
 
+// coming says whether something of a request has come that was not taken yet. When it came does not tell: a client
+// may begin its next request before the server knows that the last one is done.
+func (c *clientConn) coming() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.framing.begun || c.framing.heads > c.taken
+}
+
 // take counts a request and says whether its head contradicted itself on where it ends.
 func (c *clientConn) take() (conflict bool) {
 	c.mu.Lock()
@@ -144,15 +152,18 @@
 }
 
 // closeIdle closes the connections at rest for at least so long, but for those on which a request is coming in:
-// the client would have to send it again elsewhere.
+// the client would have to send it again elsewhere. One on which nothing has come yet gets freshLeast for it.
 func (c *clients) closeIdle(least time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, k := range c.conns {
-		if k.state != http.StateIdle || time.Since(k.since) < least {
+		switch at := time.Since(k.since); {
+		case k.state == http.StateIdle && at >= least:
+		case k.state == http.StateNew && at >= max(least, freshLeast):
+		default:
 			continue
 		}
-		if own, ok := conn.(*clientConn); ok && (own.readAt.Load() > k.since.UnixNano() || !quiet(own.Conn)) {
+		if own, ok := conn.(*clientConn); ok && (own.coming() || !quiet(own.Conn)) {
 			continue
 		}
 		conn.Close()
@@ -170,6 +181,13 @@
 	}
 }
 
+// open counts the connections.
+func (c *clients) open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns)
+}
+
 // counts tells how many connections were accepted so far, and how many of the
 // open ones have sent nothing yet, have a request in hand or are at rest.
 func (c *clients) counts() (accepted, fresh, active, idle int) {
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -12,6 +12,7 @@
 	heads    int // that have ended
 	conflict int // number of the head with both, counted from 1; 0 for none
 	ended    bool
+	begun    bool // part of a head has come
 
 	line   []byte
 	coded  bool
@@ -30,6 +31,7 @@
 			p = p[n:]
 			continue
 		}
+		f.begun = true
 		part, rest, whole := bytes.Cut(p, []byte("\n"))
 		f.line = append(f.line, part[:min(len(part), lineKept-len(f.line))]...)
 		if !whole {
@@ -61,6 +63,7 @@
 		return
 	}
 	f.heads++
+	f.begun = false
 	if f.coded && f.length >= 0 {
 		f.conflict = f.heads
 	}
--- a/internal/sidecar/framing_test.go
+++ b/internal/sidecar/framing_test.go
@@ -1,6 +1,9 @@
 package sidecar
 
 import (
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 )
@@ -31,6 +34,9 @@
 				f.read([]byte(rest[:n]))
 				rest = rest[n:]
 			}
+			if f.begun && !f.ended {
+				t.Fatalf("%.60q in pieces of %d: a head is said to be on its way at the end", c.sends, size)
+			}
 			if f.heads != c.heads || f.conflict != c.conflict {
 				t.Fatalf("%.60q in pieces of %d: %d heads, conflict in %d; want %d and %d",
 					c.sends, size, f.heads, f.conflict, c.heads, c.conflict)
@@ -38,3 +44,33 @@
 		}
 	}
 }
+
+// A client may begin its next request as soon as it has its answer, before the server counts the connection as at rest.
+func TestRequestBegunBeforeTheLastIsDone(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	conn := &clientConn{Conn: far, framing: newFraming()}
+	read := func(text string) {
+		t.Helper()
+		go io.WriteString(near, text)
+		if _, err := io.ReadFull(conn, make([]byte, len(text))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	read("GET /a HTTP/1.1\r\n\r\n")
+	if !conn.coming() {
+		t.Error("a whole head that nobody took is not seen")
+	}
+	conn.take()
+	if conn.coming() {
+		t.Error("a request that was taken counts as on its way")
+	}
+	read("GET /b")
+	clients := newClients(1)
+	clients.note(conn, http.StateNew)
+	clients.note(conn, http.StateIdle) // only now
+	clients.closeIdle(0)
+	if clients.open() != 1 {
+		t.Error("the connection was closed under half a head")
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -242,7 +242,11 @@
 	if res.status == balancer.OK {
 		l.finish(r, answer{code: http.StatusOK, header: res.header, body: res.body})
 	} else if res.fault != 0 {
-		l.finish(r, answer{code: res.fault})
+		a := answer{code: res.fault}
+		if a.code == http.StatusServiceUnavailable {
+			a.retryAfter = turnedRetry.Microseconds()
+		}
+		l.finish(r, a)
 	}
 	o.Settled, o.Spent = r.over, r.message.spent()
 	l.balancer.Outcome(now, o)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -34,6 +34,9 @@
 	reportEvery  = time.Second             // between log lines of what the sidecar holds
 	writeTimeout = 2 * time.Second         // for an answer, from its first byte on
 	clientsPart  = 3                       // one part in so many of the descriptors is the most that clients hold
+	turnedRetry  = 50 * time.Millisecond   // wait told to clients that a process about to end turns away
+	endSweep     = 10 * time.Millisecond   // between looks for connections at rest at the end
+	endMost      = time.Minute             // after that, for what still goes on when it ends
 	idleTimeout  = 10 * time.Second        // between a client's requests
 )
 
@@ -48,6 +51,8 @@
 	ending  atomic.Bool // after SIGTERM
 	drained atomic.Bool // by an operator
 
+	incoming bodies
+
 	acceptFor time.Duration // after SIGTERM, or a call to drain
 
 	store    *store     // nil without operators
@@ -337,19 +342,24 @@
 // rest when clients no longer connect are closed.
 func (s *server) end(listener net.Listener) error {
 	s.ending.Store(true)
+	s.loop.log.Info("ending", "clients", s.clients.open())
 	if l, ok := listener.(*net.TCPListener); ok && s.store != nil && s.store.paired() {
 		l.SetDeadline(time.Now().Add(acceptOut)) // new clients go to the other process from here on
 	}
 	time.Sleep(s.acceptFor)
-	s.clients.closeIdle(0)
-	var longest balancer.Micros
-	for _, c := range s.loop.cfg.Settings.Classes {
-		longest = max(longest, c.GiveUp)
+	listener.Close()
+	s.incoming.cutOff()
+	// Not http.Server.Shutdown: it closes what is at rest though half a request has come on it. An answer on its way
+	// may take longer than any deadline, and its pace bounds it: when that is too long is the platform's decision.
+	for until := time.Now().Add(endMost); time.Now().Before(until); time.Sleep(endSweep) {
+		s.clients.closeIdle(0)
+		if s.clients.open() == 0 {
+			break
+		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(longest)*time.Microsecond)
-	defer cancel()
-	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("shutdown: %w", err)
+	s.loop.log.Info("ended", "clients", s.clients.open())
+	if err := s.http.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("close: %w", err)
 	}
 	return nil
 }
@@ -391,7 +401,17 @@
 		w.Header().Set("Connection", "close")
 	}
 	control := http.NewResponseController(w)
-	req, m, err := s.read(in, control)
+	body := &clientBody{in: in.Body, control: control, length: in.ContentLength}
+	if !s.incoming.add(body) {
+		s.turnAway(w, in, control, arrived)
+		return
+	}
+	defer s.incoming.remove(body)
+	req, m, err := s.read(in, body)
+	if err != nil && body.isCut() {
+		s.turnAway(w, in, control, arrived)
+		return
+	}
 	if err != nil {
 		s.improper(w, in, err)
 		return
@@ -409,7 +429,7 @@
 	case a := <-r.answer:
 		s.give(w, in, control, m, arrived, a)
 	case <-in.Context().Done():
-		if m.rest != nil && !m.rest.whole.Load() {
+		if m.rest != nil && (m.rest.unread() || m.rest.isCut()) {
 			// The body could not be read on. That ends the attempt, and its answer is on its way.
 			s.give(w, in, control, m, arrived, <-r.answer)
 			return
@@ -422,6 +442,17 @@
 	}
 }
 
+// turnAway refuses a request that has come whole, or would, only after this process has begun to end: what SIGKILL
+// finds of it unanswered would be lost. The client's next try comes to another process.
+func (s *server) turnAway(w http.ResponseWriter, in *http.Request, control *http.ResponseController, arrived balancer.Micros) {
+	w.Header().Set("Connection", "close")
+	s.ended(in, arrived, http.StatusServiceUnavailable)
+	writeAnswer(w, answer{code: http.StatusServiceUnavailable, retryAfter: turnedRetry.Microseconds()})
+	if in.ContentLength != 0 {
+		s.linger(in, control)
+	}
+}
+
 // improper answers what is no proper request, and ends its connection: such peers keep what they are left, and
 // clients need the room.
 func (s *server) improper(w http.ResponseWriter, in *http.Request, err *badRequest) {
@@ -435,7 +466,7 @@
 	if a.code != http.StatusOK {
 		s.ended(in, arrived, a.code)
 	}
-	if s.leaving() || m.rest != nil && !m.rest.whole.Load() { // what is not read of its body stands before the next request
+	if s.leaving() || m.rest != nil && m.rest.unread() { // what is not read of its body stands before the next request
 		w.Header().Set("Connection", "close")
 	}
 	if a.stream != nil {
@@ -444,6 +475,17 @@
 	}
 	control.SetWriteDeadline(time.Now().Add(writeTimeout)) // the write tells of a connection that is gone
 	writeAnswer(w, a)
+	if m.rest != nil && m.rest.unread() {
+		s.linger(in, control)
+	}
+}
+
+// linger sends an answer off and waits for the client to read it, where the request's body was not read.
+func (s *server) linger(in *http.Request, control *http.ResponseController) {
+	conn, ok := in.Context().Value(clientKey{}).(net.Conn)
+	if ok && control.Flush() == nil {
+		linger(conn)
+	}
 }
 
 // stream passes an answer on as it comes. Where that fails the client can tell that the answer is not whole.
@@ -461,7 +503,7 @@
 }
 
 // read reads a request to its end, or as far as its body is kept.
-func (s *server) read(in *http.Request, control *http.ResponseController) (balancer.Request, *message, *badRequest) {
+func (s *server) read(in *http.Request, body *clientBody) (balancer.Request, *message, *badRequest) {
 	if !in.ProtoAtLeast(1, 1) {
 		// HTTP/1.0 has no chunked coding: the parser takes such a body for the next request.
 		return balancer.Request{}, nil, &badRequest{http.StatusHTTPVersionNotSupported, "the version must be 1.1"}
@@ -474,7 +516,7 @@
 		return req, nil, &badRequest{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is over %d bytes", requestMost)}
 	}
 	m := &message{method: in.Method, url: in.URL, host: in.Host, header: in.Header}
-	body, whole := &clientBody{in: in.Body, control: control, length: in.ContentLength}, false
+	whole := false
 	if in.ContentLength <= bodyMost {
 		var failed error
 		if m.body, whole, failed = body.keep(bodyMost); failed != nil {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -595,3 +595,37 @@
 		t.Error("the sidecar does not end")
 	}
 }
+
+// A request that comes whole only after the end has begun is turned away, not cut off: SIGKILL may find it unanswered.
+func TestTerminationAmidAHead(t *testing.T) {
+	w := start(t, nil, ready("s-1", newEndpoint(t, always(served)).address))
+	w.server.acceptFor = 0
+	k := w.keep()
+	k.ask()
+	w.until("the connection at rest", func() bool { _, _, _, idle := w.server.clients.counts(); return idle == 1 })
+	var head strings.Builder
+	w.request("read", "", time.Minute).Write(&head)
+	io.WriteString(k.conn, head.String()[:10])
+	w.until("the head's beginning to be read", func() bool {
+		w.server.clients.mu.Lock()
+		defer w.server.clients.mu.Unlock()
+		for conn := range w.server.clients.conns {
+			return conn.(*clientConn).coming()
+		}
+		return false
+	})
+	w.stop()
+	w.until("the end of accepting", func() bool {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
+	time.Sleep(10 * endSweep) // for whatever might close it
+	io.WriteString(k.conn, head.String()[10:])
+	if got, err := http.ReadResponse(k.in, nil); err != nil || got.StatusCode != http.StatusServiceUnavailable ||
+		!got.Close || got.Header.Get("Retry-After") == "" {
+		t.Errorf("a request on its way in: %v, %v; want 503, a time to come back and the end", got, err)
+	}
+}
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -5,21 +5,22 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 const (
-	requestMost = 32 << 20                // bytes of a request's body
-	bufferBytes = 32 << 10                // of a body on its way, each way
-	paceLeast   = 64 << 10                // bytes a second that a client has to take or give
-	paceSlack   = 2500 * time.Millisecond // beside that: a client may take 2 s, an improper peer is owed an end in 3 s
-	stallMost   = 5 * time.Second         // a single wait for a client, however much it has done before
-	stallServer = 10 * time.Second        // a single wait for an endpoint amid a body
-	keepFor     = 50 * time.Millisecond   // an answer of unknown length is kept so long in the hope that it ends
+	requestMost  = 32 << 20                // bytes of a request's body
+	bufferBytes  = 32 << 10                // of a body on its way, each way
+	paceLeast    = 64 << 10                // bytes a second that a client has to take or give
+	paceSlack    = 2500 * time.Millisecond // beside that: a client may take 2 s, an improper peer is owed an end in 3 s
+	stallMost    = 5 * time.Second         // a single wait for a client, however much it has done before
+	stallServer  = 10 * time.Second        // a single wait for an endpoint amid a body
+	discardPause = 10 * time.Millisecond   // between reads of what nobody needs: it is worth no processor time
+	keepFor      = 50 * time.Millisecond   // an answer of unknown length is kept so long in the hope that it ends
 )
 
 // buffers are for bodies on their way. Not io.Copy between sockets: it would splice.
@@ -58,9 +59,12 @@
 	control *http.ResponseController
 	length  int64 // -1 where the client did not tell
 	pace    pace
-	taken   bool        // bytes were read that are not kept
-	whole   atomic.Bool // it was read to its end
+	taken   bool // bytes were read that are not kept
 	err     *clientError
+
+	mu    sync.Mutex
+	whole bool // it was read to its end
+	cut   bool // what still comes is not waited for
 }
 
 // Read reads what has come, and gives a client up that is too slow.
@@ -69,7 +73,14 @@
 		return 0, b.err
 	}
 	start := time.Now()
-	if err := b.control.SetReadDeadline(start.Add(b.pace.allows())); err != nil {
+	b.mu.Lock()
+	until := start.Add(b.pace.allows())
+	if b.cut {
+		until = longAgo
+	}
+	err := b.control.SetReadDeadline(until)
+	b.mu.Unlock()
+	if err != nil {
 		return 0, b.failed(err)
 	}
 	n, err := b.in.Read(p)
@@ -79,26 +90,96 @@
 		return 0, b.err
 	}
 	if err == io.EOF {
-		b.whole.Store(true)
-		// From here on a read only watches for the client's going, however long the answer takes.
-		if failed := b.control.SetReadDeadline(time.Time{}); failed != nil {
-			return n, b.failed(failed)
-		}
-	} else if err != nil {
+		err = b.end()
+	}
+	if err != nil && err != io.EOF {
 		return n, b.failed(err)
 	}
 	return n, err
 }
 
+// end notes that the body is whole.
+func (b *clientBody) end() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.whole = true
+	// From here on a read only watches for the client's going, however long the answer takes.
+	if err := b.control.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 func (b *clientBody) failed(err error) error {
 	code := http.StatusBadRequest
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if b.isCut() {
+		code = http.StatusServiceUnavailable // nobody has seen it to its end: it may be sent to another process
+	} else if errors.Is(err, os.ErrDeadlineExceeded) {
 		code = http.StatusRequestTimeout
 	}
 	b.err = &clientError{code, fmt.Errorf("the body could not be read: %w", err)}
 	return b.err
 }
 
+// cutOff ends the wait for a body that has not come whole.
+func (b *clientBody) cutOff() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.whole {
+		b.cut = true
+		b.control.SetReadDeadline(longAgo) // a connection that is gone has nothing to wait for
+	}
+}
+
+func (b *clientBody) isCut() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cut
+}
+
+// unread says whether some of the body was not read.
+func (b *clientBody) unread() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.whole
+}
+
+// bodies are the request bodies that are still coming in.
+type bodies struct {
+	mu   sync.Mutex
+	cut  bool
+	open map[*clientBody]struct{}
+}
+
+// add takes in a body, unless no more are waited for.
+func (b *bodies) add(body *clientBody) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.open == nil {
+		b.open = map[*clientBody]struct{}{}
+	}
+	if !b.cut && body.length != 0 { // else nothing is to come that could be cut off
+		b.open[body] = struct{}{}
+	}
+	return !b.cut
+}
+
+func (b *bodies) remove(body *clientBody) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.open, body)
+}
+
+// cutOff ends the wait for all that have not come whole, and for any further one.
+func (b *bodies) cutOff() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cut = true
+	for body := range b.open {
+		body.cutOff()
+	}
+}
+
 // keep reads up to so many bytes; whole says that these are all.
 func (b *clientBody) keep(most int) (kept []byte, whole bool, err error) {
 	kept, err = io.ReadAll(io.LimitReader(b, int64(most)))
@@ -113,6 +194,27 @@
 	return append(kept, more[:n]...), false, err
 }
 
+// linger reads what still comes after an answer that is the last on its connection. A client may write its whole body
+// before it reads: closed with a part of that unread, its connection would be reset, and the answer lost with it.
+// What comes is no longer read as a body, whose reader may have failed.
+func linger(conn net.Conn) {
+	buffer := buffers.Get().(*[bufferBytes]byte)
+	defer buffers.Put(buffer)
+	var p pace
+	for {
+		start := time.Now()
+		if conn.SetReadDeadline(start.Add(min(paceSlack, p.allows()))) != nil {
+			return
+		}
+		n, err := conn.Read(buffer[:])
+		if err != nil {
+			return // its end, or the client is too slow: there is nobody left to tell
+		}
+		p.note(n, start)
+		time.Sleep(discardPause)
+	}
+}
+
 // rest reads what was not kept; from then on the request cannot be sent again.
 type rest struct{ *clientBody }
 
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -391,3 +391,107 @@
 		}
 	}
 }
+
+// SIGTERM amid a long answer: the answer goes on to its end, however long after the classes' deadlines.
+func TestTerminationAmidALongAnswer(t *testing.T) {
+	goOn := make(chan struct{})
+	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.next(in) != nil {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", long)
+			body := &pattern{end: long}
+			io.CopyN(conn, body, bodyMost)
+			<-goOn
+			io.Copy(conn, body)
+		}
+	})
+	const giveUp = 200 * time.Millisecond
+	w := start(t, func(settings map[string]any) {
+		for _, c := range settings["classes"].([]any) {
+			c.(map[string]any)["give-up"], c.(map[string]any)["target"] = giveUp.Microseconds(), giveUp.Microseconds()
+		}
+	}, ready("s-1", e.address))
+	w.server.acceptFor = 0
+	response, err := http.DefaultClient.Do(w.request("read", "", time.Minute))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	w.stop()
+	select {
+	case err := <-w.ended:
+		t.Fatalf("the sidecar ended amid an answer: %v", err)
+	case <-time.After(3 * giveUp):
+	}
+	close(goOn)
+	if got, want := sum(t, response.Body), sum(t, &pattern{end: long}); got != want {
+		t.Errorf("the client got %s, want %s", got, want)
+	}
+	select {
+	case err := <-w.ended:
+		if err != nil {
+			t.Errorf("the sidecar ended with %v", err)
+		}
+	case <-time.After(patience):
+		t.Error("the sidecar does not end")
+	}
+}
+
+// A long request that is refused at once: the client gets the answer though it first writes all of its body.
+func TestRefusedAmidABody(t *testing.T) {
+	w := start(t, nil, ready("s-1", closedAddress(t)))
+	for name, framing := range map[string]string{
+		"with a length": fmt.Sprintf("Content-Length: %d\r\n\r\n", long),
+		"in chunks":     "Transfer-Encoding: chunked\r\n\r\n",
+	} {
+		k := w.keep()
+		io.WriteString(k.conn, "POST /pay HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: 1\r\nX-Service-Class: pay\r\n"+
+			"X-Time-Left-Ms: 9000\r\nIdempotency-Key: 1\r\n"+framing)
+		body := io.Writer(struct{ io.Writer }{k.conn})
+		if name == "in chunks" {
+			body = httputil.NewChunkedWriter(k.conn)
+		}
+		io.CopyN(body, &pattern{end: long}, 2*bodyMost)
+		w.until("the request to be ended", func() bool { var n int; w.do(func() { n = len(w.loop.requests) }); return n == 0 })
+		if _, err := io.Copy(body, &pattern{at: 2 * bodyMost, end: long}); err != nil {
+			t.Errorf("%s: writing the body: %v", name, err)
+		}
+		if name == "in chunks" {
+			io.WriteString(k.conn, "0\r\n\r\n")
+		}
+		if got, err := http.ReadResponse(k.in, nil); err != nil || got.StatusCode != http.StatusServiceUnavailable || !got.Close {
+			t.Errorf("%s: %v, %v; want 503 and the end", name, got, err)
+		}
+	}
+}
+
+// SIGTERM amid a request's body, short or long: the client hears that it may try elsewhere, and no endpoint got it whole.
+func TestTerminationAmidABody(t *testing.T) {
+	for name, length := range map[string]int{"kept": bodyMost, "passed on": long} {
+		e := newEndpoint(t, always(served))
+		w := start(t, nil, ready("s-1", e.address))
+		w.server.acceptFor = 0
+		k := w.keep()
+		fmt.Fprintf(k.conn, "POST /pay HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: 1\r\nX-Service-Class: pay\r\n"+
+			"X-Time-Left-Ms: 9000\r\nIdempotency-Key: 1\r\nContent-Length: %d\r\n\r\n", length)
+		io.CopyN(k.conn, &pattern{end: long}, bodyMost/2)
+		w.until("the body to be waited for", func() bool {
+			w.server.incoming.mu.Lock()
+			defer w.server.incoming.mu.Unlock()
+			return len(w.server.incoming.open) == 1
+		})
+		w.stop()
+		got, err := http.ReadResponse(k.in, nil)
+		if err != nil || got.StatusCode != http.StatusServiceUnavailable || !got.Close || got.Header.Get("Retry-After") == "" {
+			t.Errorf("%s: %v, %v; want 503, a time to come back and the end", name, got, err)
+		}
+		if n, _ := e.seen(); n != 0 {
+			t.Errorf("%s: the endpoint got the request", name)
+		}
+		k.conn.Close()
+		select {
+		case <-w.ended:
+		case <-time.After(patience):
+			t.Errorf("%s: the sidecar does not end", name)
+		}
+	}
+}
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -409,9 +409,3 @@
 	body, err := io.ReadAll(response.Body)
 	return reply{response.StatusCode, response.Header, string(body), err}
 }
-
-// open counts the connections that are held.
-func (c *clients) open() int {
-	_, fresh, active, idle := c.counts()
-	return fresh + active + idle
-}
