Divide only idle connections to endpoints while two processes run

At fault: divide halved what each process may open, though clients hold a third of the descriptors at most over both, and each has one attempt out.

Fails without it: TestIdleConnectionsAreBounded.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -110,7 +110,7 @@
 func newLoop(ctx context.Context, cfg *Config, log *slog.Logger) (*loop, error) {
 	l := &loop{
 		cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx,
-		up: newUpstream(cfg, connections(cfg, 1)), told: make(chan struct{}), disc: newDiscovery(cfg.Discovery),
+		up: newUpstream(cfg, connections(cfg)), told: make(chan struct{}), disc: newDiscovery(cfg.Discovery),
 		events:   make(chan func(balancer.Micros), eventsMost),
 		urgent:   make(chan func(balancer.Micros), opsMost),
 		listings: map[uint32]listing{}, banned: map[uint32]bool{},
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -214,24 +214,28 @@
 }
 
 // divide keeps this process to its part of the platform's limits: all of them, or half while another runs. But
-// clients hold a third of the descriptors at most, in whichever process: a process that was alone cannot give them
-// back at once, and soon all of them come to the newcomer, which must not turn them back.
+// clients hold a third of the descriptors at most, in whichever process, and each has one attempt out: a process that
+// was alone cannot give theirs back at once, and soon all of them come to the newcomer, which must not turn them
+// back. What is divided then is what may lie idle.
 func (s *server) divide(paired bool) {
-	cfg, parts := s.loop.cfg, processes(paired)
+	cfg := s.loop.cfg
+	most := connections(cfg)
 	if paired {
 		s.loop.log.Info("another process of this sidecar runs; limits are shared")
-	}
-	most := connections(cfg, parts)
-	s.loop.up.bound(most)
-	if !paired {
+		third := min(most, cfg.Limits.Sockets/clientsPart)
+		idle := (cfg.Limits.Sockets - 2*third - 2*socketSpare) / 2
+		s.loop.up.bound(third, max(idle, 0))
+		if !s.divided {
+			s.clients.bound(third)
+		}
+	} else {
+		s.loop.up.bound(most, most)
 		s.clients.bound(most)
-	} else if !s.divided {
-		s.clients.bound(min(connections(cfg, 1), cfg.Limits.Sockets/clientsPart))
 	}
 	s.paired, s.divided = paired, true
 	// The heap stays under the limit at which the platform kills the process, with room for what the runtime does
 	// not count.
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 10 * 8 / int64(parts))
+	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 10 * 8 / int64(processes(paired)))
 }
 
 // change alters what is shared, for this process and the other.
@@ -243,14 +247,14 @@
 	return s.apply(state, s.store.paired())
 }
 
-// connections is the most that clients may hold, and the most to endpoints, in each of so many processes: every
-// client's request has one attempt at a time.
-func connections(cfg *Config, processes int) int {
+// connections is the most that clients may hold, and the most to endpoints: every client's request has one attempt at
+// a time.
+func connections(cfg *Config) int {
 	spare := socketSpare
 	if cfg.Ops != "" {
 		spare += opsMost
 	}
-	return max(1, (cfg.Limits.Sockets/processes-spare)/2)
+	return (cfg.Limits.Sockets - spare) / 2
 }
 
 func (s *server) serve(ctx context.Context, listener net.Listener) error {
@@ -289,7 +293,7 @@
 
 func newServer(l *loop) *server {
 	s := &server{loop: l, classes: map[string]uint8{}, tenants: map[string]uint16{},
-		clients: newClients(connections(l.cfg, 1)), acceptFor: acceptAfter}
+		clients: newClients(connections(l.cfg)), acceptFor: acceptAfter}
 	for i, c := range l.cfg.Settings.Classes {
 		s.classes[c.Name] = uint8(i)
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -40,6 +40,7 @@
 	mu   sync.Mutex
 	open int // connections, those being dialled included
 	most int
+	rest int                 // of them, at most so many idle
 	idle map[*target][]*conn // by endpoint, the latest used last
 }
 
@@ -122,7 +123,7 @@
 		// An endpoint closes an idle connection when its time is over at the
 		// latest, and what is written to it from then on is lost.
 		idleMost: cfg.idle * 3 / 4,
-		fields:   cfg.fields, most: connections, idle: map[*target][]*conn{},
+		fields:   cfg.fields, most: connections, rest: connections, idle: map[*target][]*conn{},
 	}
 }
 
@@ -277,22 +278,27 @@
 	}
 }
 
-// bound sets how many connections there may be.
-func (u *upstream) bound(most int) {
+// bound sets how many connections there may be, and how many of them idle.
+func (u *upstream) bound(most, rest int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.most = most
-	u.trim(most)
+	u.most, u.rest = most, rest
+	u.trim(min(most, u.open-u.resting()+rest))
+}
+
+// resting counts the idle connections. It holds u.mu.
+func (u *upstream) resting() (n int) {
+	for _, list := range u.idle {
+		n += len(list)
+	}
+	return n
 }
 
 // connections counts the open connections and the idle ones among them.
 func (u *upstream) connections() (open, idle int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, list := range u.idle {
-		idle += len(list)
-	}
-	return u.open, idle
+	return u.open, u.resting()
 }
 
 // drop closes a connection. It holds u.mu.
@@ -311,6 +317,9 @@
 	}
 	c.idleAt = time.Now()
 	u.idle[c.target] = append(u.idle[c.target], c)
+	if u.resting() > u.rest {
+		u.trim(u.open - 1)
+	}
 }
 
 // retire closes a target for good, and its idle connections. What is out there
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -337,3 +337,30 @@
 		})
 	}
 }
+
+// Idle connections beyond their bound are closed, the others kept.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	u := newTestUpstream(t, 6)
+	var at []*target
+	for range 4 {
+		at = append(at, &target{address: newEndpoint(t, always(served)).address})
+	}
+	ask := func() {
+		for _, target := range at {
+			if r := u.attempt(context.Background(), target, get("/"), nil); r.status != balancer.OK {
+				t.Fatalf("%v, %v", r.status, r.err)
+			}
+		}
+	}
+	ask()
+	if open, idle := u.connections(); open != 4 || idle != 4 {
+		t.Fatalf("%d open, %d idle; want 4 and 4", open, idle)
+	}
+	u.bound(6, 2)
+	for range 2 {
+		if open, idle := u.connections(); open != 2 || idle != 2 {
+			t.Errorf("%d open, %d idle; want 2 and 2", open, idle)
+		}
+		ask()
+	}
+}
