Open the clients' address without Multipath TCP, so that it can be steered

At fault: listen (server.go): Go's listeners are Multipath TCP by default, whose sockets refuse the program.

Fails without it: TestNewConnectionsAreSteered, which also looks at the later process alone and at a third one.

--- a/internal/sidecar/ops_test.go
+++ b/internal/sidecar/ops_test.go
@@ -293,3 +293,55 @@
 		}
 	}
 }
+
+// All new connections come to the later of two processes, as long as both listen, and to the one that is left.
+func TestNewConnectionsAreSteered(t *testing.T) {
+	cfg := &Config{Listen: "127.0.0.1:0", Ops: "127.0.0.1:0"}
+	earlier, err := listen(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer earlier.Close()
+	cfg.Listen = earlier.Addr().String()
+	later, err := listen(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer later.Close()
+	if err := steer(later); err != nil {
+		t.Fatal(err)
+	}
+	const many = 50
+	take := func(from net.Listener) {
+		t.Helper()
+		for range many {
+			conn, err := net.Dial("tcp", cfg.Listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+		}
+		from.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+		for i := range many {
+			conn, err := from.Accept()
+			if err != nil {
+				t.Fatalf("%d of %d new connections came: %v", i, many, err)
+			}
+			conn.Close()
+		}
+	}
+	take(later)
+	earlier.Close()
+	take(later)
+	next, err := listen(cfg) // the following upgrade
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	if err := steer(next); err != nil {
+		t.Fatal(err)
+	}
+	take(next)
+	next.Close() // which is given up
+	take(later)
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -136,6 +136,7 @@
 	var config net.ListenConfig
 	if cfg.Ops != "" {
 		config.Control = sharePort
+		config.SetMultipathTCP(false) // which is the default of listeners, and cannot be steered
 	}
 	return config.Listen(context.Background(), "tcp", cfg.Listen)
 }
