Refuse a request early where bodies in hand would take too much memory

Until now only the number of connections bounded what bodies take: by arithmetic 341 clients with 64 KiB kept each way are 43 MB, in a limit of 32 MB with 1,024 descriptors.

Half of the heap's limit is for bodies and the buffers of their answers, by what each may hold at most; a request beyond it is refused before anything is sent, with a time to come back. Fails without it: TestRefusedForWantOfMemory.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -33,6 +33,7 @@
 	timeLeftMost = time.Minute             // that a request gets
 	reportEvery  = time.Second             // between log lines of what the sidecar holds
 	writeTimeout = 2 * time.Second         // for an answer, from its first byte on
+	bodiesPart   = 2                       // one part in so many of the heap may be bodies
 	clientsPart  = 3                       // one part in so many of the descriptors is the most that clients hold
 	turnedRetry  = 50 * time.Millisecond   // wait told to clients that a process about to end turns away
 	endSweep     = 10 * time.Millisecond   // between looks for connections at rest at the end
@@ -236,7 +237,9 @@
 	s.paired, s.divided = paired, true
 	// The heap stays under the limit at which the platform kills the process, with room for what the runtime does
 	// not count.
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 10 * 8 / int64(processes(paired)))
+	heap := int64(cfg.Limits.MemoryMB) << 20 / 10 * 8 / int64(processes(paired))
+	debug.SetMemoryLimit(heap)
+	s.incoming.bound(heap / bodiesPart)
 }
 
 // change alters what is shared, for this process and the other.
@@ -407,14 +410,14 @@
 	}
 	control := http.NewResponseController(w)
 	body := &clientBody{in: in.Body, control: control, length: in.ContentLength}
-	if !s.incoming.add(body) {
-		s.turnAway(w, in, control, arrived)
+	if retry, ok := s.incoming.add(body); !ok {
+		s.turnAway(w, in, control, arrived, retry)
 		return
 	}
 	defer s.incoming.remove(body)
 	req, m, err := s.read(in, body)
 	if err != nil && body.isCut() {
-		s.turnAway(w, in, control, arrived)
+		s.turnAway(w, in, control, arrived, turnedRetry)
 		return
 	}
 	if err != nil {
@@ -447,12 +450,12 @@
 	}
 }
 
-// turnAway refuses a request that has come whole, or would, only after this process has begun to end: what SIGKILL
-// finds of it unanswered would be lost. The client's next try comes to another process.
-func (s *server) turnAway(w http.ResponseWriter, in *http.Request, control *http.ResponseController, arrived balancer.Micros) {
+// turnAway refuses a request for which there is no memory, or that has come whole, or would, only after this process
+// has begun to end: what SIGKILL finds of it unanswered would be lost. The client's next try comes to another process.
+func (s *server) turnAway(w http.ResponseWriter, in *http.Request, control *http.ResponseController, arrived balancer.Micros, retry time.Duration) {
 	w.Header().Set("Connection", "close")
 	s.ended(in, arrived, http.StatusServiceUnavailable)
-	writeAnswer(w, answer{code: http.StatusServiceUnavailable, retryAfter: turnedRetry.Microseconds()})
+	writeAnswer(w, answer{code: http.StatusServiceUnavailable, retryAfter: retry.Microseconds()})
 	if in.ContentLength != 0 {
 		s.linger(in, control)
 	}
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -144,32 +144,63 @@
 	return !b.whole
 }
 
-// bodies are the request bodies that are still coming in.
+// bodies are the request bodies in hand, and the memory that they and their answers may take.
 type bodies struct {
 	mu   sync.Mutex
 	cut  bool
-	open map[*clientBody]struct{}
+	most int64 // bytes
+	used int64
+	open map[*clientBody]struct{} // those that still come in
 }
 
-// add takes in a body, unless no more are waited for.
-func (b *bodies) add(body *clientBody) bool {
+// takes is the most that a request holds in memory at once, with its answer: what is kept of its body, or passes
+// through, and a buffer for the answer.
+func (b *clientBody) takes() int64 {
+	switch {
+	case b.length < 0:
+		return bodyMost + 2*bufferBytes
+	case b.length > bodyMost:
+		return 2 * bufferBytes
+	default:
+		return b.length + bufferBytes
+	}
+}
+
+// add takes in a body. Where there is no room for it, or none is waited for any more, it says when to come back.
+func (b *bodies) add(body *clientBody) (retry time.Duration, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.cut {
+		return turnedRetry, false
+	}
+	if b.used+body.takes() > b.most {
+		return busyRetry, false
+	}
+	b.used += body.takes()
 	if b.open == nil {
 		b.open = map[*clientBody]struct{}{}
 	}
-	if !b.cut && body.length != 0 { // else nothing is to come that could be cut off
+	if body.length != 0 { // else nothing is to come that could be cut off
 		b.open[body] = struct{}{}
 	}
-	return !b.cut
+	return 0, true
 }
 
+// remove ends a request that was added.
 func (b *bodies) remove(body *clientBody) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.used -= body.takes()
 	delete(b.open, body)
 }
 
+// bound sets how many bytes there may be.
+func (b *bodies) bound(most int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.most = most
+}
+
 // cutOff ends the wait for all that have not come whole, and for any further one.
 func (b *bodies) cutOff() {
 	b.mu.Lock()
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -495,3 +495,39 @@
 		}
 	}
 }
+
+// Where memory is short a request is refused before anything is sent of it, and taken again once there is room.
+func TestRefusedForWantOfMemory(t *testing.T) {
+	goOn := make(chan struct{})
+	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.next(in) != nil {
+			<-goOn
+			io.WriteString(conn, served)
+		}
+	})
+	w := start(t, nil, ready("s-1", e.address))
+	w.server.incoming.bound(2*bufferBytes + bodyMost)
+	first := make(chan reply)
+	go func() { first <- w.send(w.request("pay", strings.Repeat("x", bodyMost), time.Minute)) }()
+	w.until("the first in hand", func() bool { n, _ := e.seen(); return n == 1 })
+	for _, length := range []int64{bodyMost, -1, long} {
+		r := w.request("pay", "", time.Minute)
+		r.Body, r.ContentLength = io.NopCloser(&pattern{end: bodyMost}), length
+		if length == long {
+			r.Body = io.NopCloser(&pattern{end: long})
+		}
+		if got := w.send(r); got.code != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+			t.Errorf("a body of %d with no room left: %+v, want 503 and a time to come back", length, got)
+		}
+	}
+	close(goOn)
+	if got := <-first; got.code != http.StatusOK {
+		t.Errorf("the first: %+v", got)
+	}
+	w.until("room again", func() bool {
+		return w.send(w.request("pay", strings.Repeat("x", bodyMost), time.Minute)).code == http.StatusOK
+	})
+	if n, _ := e.seen(); n != 2 {
+		t.Errorf("%d requests reached the endpoint, want 2", n)
+	}
+}
