Add the fault lab: real sidecars, stand-in servers and discovery, faults, load

Change: internal/lab and cmd/bramblelab (run, report). An experiment is a TOML file (fleet, server, load, [[fault]] and seeded [[chaos]]). The lab starts N bin/pinedale children (parent-death signal, SIGKILL after a grace), stand-in pin servers (capacity, queue, latency, errors, cold start, drain, load reports, a record of every id run), a stand-in discovery agent (watch, lag with reordering, silence), and a fault proxy before every server (partition one- or two-way with a reset on return, delay, resets). Open-loop Poisson or burst load, tracked by id; HDR histograms; a JSON result, a PNG plot with the faults marked, and the processes' JSON logs merged by time. pinedale logs JSON where BALANCER_LOG=json (text as before otherwise).

--- a/cmd/pinedale/main.go
+++ b/cmd/pinedale/main.go
@@ -35,7 +35,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("sidecar", cfg.Name)
+	var handler slog.Handler = slog.NewTextHandler(os.Stderr, nil)
+	if os.Getenv("BALANCER_LOG") == "json" { // as the lab merges logs; text otherwise
+		handler = slog.NewJSONHandler(os.Stderr, nil)
+	}
+	log := slog.New(handler).With("sidecar", cfg.Name)
 	reloads := make(chan *sidecar.Config)
 	go reload(ctx, path, hangups, reloads, log)
 	return sidecar.Run(ctx, cfg, reloads, log)
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,237 @@
+package lab
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+var programs string // the folder with pinedale and bramblelab, built once
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "lab")
+	if err == nil {
+		out, buildErr := exec.Command("go", "build", "-o", folder, "peatpost/cmd/pinedale", "peatpost/cmd/bramblelab").CombinedOutput()
+		if buildErr != nil {
+			os.Stderr.Write(out)
+			err = buildErr
+		}
+	}
+	if err != nil {
+		os.Stderr.WriteString("the programs do not build: " + err.Error() + "\n")
+		os.Exit(1)
+	}
+	programs = folder
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+func experiment(t *testing.T, path string) *Experiment {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	exp, err := Parse(path, text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return exp
+}
+
+// The CI-sized experiment: 5 sidecars, 8 servers, kill -9 of one sidecar and
+// a partition of two servers; no request is lost, forged or run twice.
+func TestKillAndPartitionLoseNothing(t *testing.T) {
+	exp := experiment(t, "../../lab/ci.toml")
+	folder := t.TempDir()
+	result, err := Run(context.Background(), exp, filepath.Join(programs, "pinedale"), folder, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(result.Summary())
+	if n := result.Breaches(); n > 0 {
+		t.Errorf("%d breaches: %v, examples %v", n, result.Outcomes, result.Examples)
+	}
+	if served := result.Outcomes[Served]; served < result.Requests*9/10 {
+		t.Errorf("served %d of %d", served, result.Requests)
+	}
+	if len(result.Faults) != 4 {
+		t.Errorf("faults played: %v, want the kill, the partition and their ends", result.Faults)
+	}
+	if err := MergeLogs(folder, filepath.Join(folder, "merged.jsonl")); err != nil {
+		t.Fatal(err)
+	}
+	merged, _ := os.ReadFile(filepath.Join(folder, "merged.jsonl"))
+	for _, sidecar := range []string{`"file":"s00.log"`, `"file":"s04.log"`} {
+		if !strings.Contains(string(merged), sidecar) {
+			t.Errorf("the merged log has no line of %s", sidecar)
+		}
+	}
+}
+
+// A lab killed midway leaves no sidecar behind.
+func TestKilledLabLeavesNoProcess(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "long.toml")
+	text := "name = \"long\"\nduration = \"60s\"\n[fleet]\nsidecars = 3\nservers = 2\n[load]\nrate = 5\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	lab := exec.Command(filepath.Join(programs, "bramblelab"), "run", "-out", folder, "-sidecar", filepath.Join(programs, "pinedale"), path)
+	if err := lab.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer lab.Process.Kill()
+	children := func() (n int) {
+		entries, _ := os.ReadDir("/proc")
+		for _, e := range entries {
+			environ, err := os.ReadFile(filepath.Join("/proc", e.Name(), "environ"))
+			if err == nil && strings.Contains(string(environ), "BALANCER_CONFIG="+filepath.Join(folder, "logs")) {
+				n++
+			}
+		}
+		return n
+	}
+	for end := time.Now().Add(30 * time.Second); children() < 3; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the lab started %d sidecars, want 3", children())
+		}
+	}
+	lab.Process.Signal(syscall.SIGKILL)
+	lab.Wait()
+	for end := time.Now().Add(10 * time.Second); children() > 0; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d sidecars outlived the lab", children())
+		}
+	}
+}
+
+func TestBadExperimentsNameTheField(t *testing.T) {
+	good := "duration = \"5s\"\n[fleet]\nsidecars = 2\nservers = 2\n[load]\nrate = 5\n"
+	for text, field := range map[string]string{
+		good + "colour = 1\n": "colour",
+		strings.Replace(good, "sidecars = 2", "sidecars = 99", 1):       "fleet.sidecars",
+		strings.Replace(good, `"5s"`, `"five"`, 1):                      "duration",
+		good + "[[fault]]\nat = \"1s\"\nkind = \"kill\"\n":              "fault[0].sidecars",
+		good + "[[fault]]\nat = \"1s\"\nkind = \"melt\"\n":              "fault[0].kind",
+		good + "[[fault]]\nat = \"9s\"\nkind = \"discovery\"\n":         "fault[0].at",
+		good + "[[fault]]\nkind = \"reset\"\nservers = [2]\n":           "fault[0].servers",
+		good + "[[chaos]]\nkind = \"discovery\"\ncount = 1\n":           "chaos[0].kind",
+		strings.Replace(good, "rate = 5", "rate = 5\nshape = \"x\"", 1): "load.shape",
+	} {
+		_, err := Parse("e.toml", []byte(text))
+		if err == nil || !strings.Contains(err.Error(), field) || !strings.HasPrefix(err.Error(), "e.toml") {
+			t.Errorf("error %v, want one that names e.toml and %s", err, field)
+		}
+	}
+}
+
+// The same seed gives the same schedule and the same arrivals; another gives others.
+func TestSeedGivesTheSchedule(t *testing.T) {
+	text := "seed = 5\nduration = \"30s\"\n[fleet]\nsidecars = 4\nservers = 9\n[load]\nrate = 20\nshape = \"bursts\"\n" +
+		"burst_every = \"5s\"\nburst_for = \"1s\"\nburst_factor = 3\n[[chaos]]\nkind = \"kill\"\ncount = 3\nfor = \"1s\"\n" +
+		"[[chaos]]\nkind = \"partition\"\ncount = 2\n"
+	one, _ := Parse("a", []byte(text))
+	two, _ := Parse("b", []byte(text))
+	other, _ := Parse("c", []byte(strings.Replace(text, "seed = 5", "seed = 6", 1)))
+	if !reflect.DeepEqual(one.Schedule(), two.Schedule()) || !reflect.DeepEqual(one.Arrivals(1), two.Arrivals(1)) {
+		t.Error("one seed gave two schedules")
+	}
+	if reflect.DeepEqual(one.Schedule(), other.Schedule()) || reflect.DeepEqual(one.Arrivals(1), other.Arrivals(1)) {
+		t.Error("two seeds gave one schedule")
+	}
+	if n := len(one.Schedule()); n != 8 {
+		t.Errorf("%d events, want 3 kills with their starts and 2 partitions", n)
+	}
+}
+
+// A partition one way is silent; on its end, connections that lived through it are reset.
+func TestProxyPartitionIsSilentThenResets(t *testing.T) {
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer echo.Close()
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go io.Copy(c, c)
+		}
+	}()
+	p, err := NewProxy(echo.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	conn, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	answer := make([]byte, 1)
+	roundTrip := func() error {
+		conn.SetDeadline(time.Now().Add(300 * time.Millisecond))
+		if _, err := conn.Write([]byte("x")); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(conn, answer)
+		return err
+	}
+	if err := roundTrip(); err != nil {
+		t.Fatalf("before the partition: %v", err)
+	}
+	p.Partition(false, true) // answers are held
+	if err := roundTrip(); err == nil || !os.IsTimeout(err) {
+		t.Errorf("in the partition: %v, want silence", err)
+	}
+	p.Partition(false, false)
+	conn.SetDeadline(time.Now().Add(2 * time.Second))
+	if _, err := io.ReadAll(conn); err == nil || !strings.Contains(err.Error(), "reset") {
+		t.Errorf("after the partition: %v, want a reset", err)
+	}
+}
+
+// A watch waits for a change and answers with it alone; a down agent is silent.
+func TestDiscoveryWatchAndSilence(t *testing.T) {
+	d, err := NewDiscovery(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	d.Set(Host{Host: "v1", Dial: "127.0.0.1:9", Health: "Ready"})
+	get := func(query string, timeout time.Duration) string {
+		client := http.Client{Timeout: timeout}
+		r, err := client.Get("http://" + d.Address() + "/registry/instances" + query)
+		if err != nil {
+			return "no answer"
+		}
+		defer r.Body.Close()
+		body, _ := io.ReadAll(r.Body)
+		return string(body)
+	}
+	if whole := get("", time.Second); !strings.Contains(whole, `"whole":true`) || !strings.Contains(whole, "v1") {
+		t.Errorf("the whole list: %s", whole)
+	}
+	time.AfterFunc(100*time.Millisecond, func() { d.Set(Host{Host: "v2", Dial: "127.0.0.1:9", Health: "Ready"}) })
+	if change := get("?after=2&wait_ms=5000", 3*time.Second); !strings.Contains(change, "v2") || strings.Contains(change, "v1") {
+		t.Errorf("the watch: %s, want v2 alone", change)
+	}
+	d.SetDown(true)
+	if silent := get("", 300*time.Millisecond); silent != "no answer" {
+		t.Errorf("down: %s, want silence", silent)
+	}
+}
--- /dev/null
+++ b/internal/lab/load.go
@@ -0,0 +1,198 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Outcome is what became of one request, as the client beside its sidecar saw it.
+type Outcome string
+
+// The outcomes of a request. Lost and Forged break the rules; Cut is a
+// request in the hands of a sidecar that was killed or paused meanwhile.
+const (
+	Served     Outcome = "served"
+	Late       Outcome = "late"    // served, after its time and 50 ms
+	Refused    Outcome = "refused" // 429 or 503
+	Failed     Outcome = "failed"  // any other status
+	Unreached  Outcome = "unreached"
+	Cut        Outcome = "cut"
+	Lost       Outcome = "lost"
+	Forged     Outcome = "forged" // a 200 whose body no server made for this request
+	Unfinished Outcome = "unfinished"
+)
+
+type record struct {
+	sidecar int
+	order   bool // of the class that must never run twice
+	sent    time.Duration
+	took    time.Duration
+	outcome Outcome
+	ranAt   []string // servers that ran it
+}
+
+// Ledger tracks every request by id: what the client saw and which servers
+// ran it. It is safe for concurrent use.
+type Ledger struct {
+	mu         sync.Mutex
+	start      time.Time
+	records    map[string]*record
+	strange    []string // ids that no client sent, as server:id
+	afterDrain []string // requests that reached a server over 1.5 s into its drain, as server:id
+}
+
+// NewLedger starts the lab's clock.
+func NewLedger() *Ledger {
+	return &Ledger{start: time.Now(), records: map[string]*record{}}
+}
+
+// Since is the lab's clock: the time since the ledger began.
+func (l *Ledger) Since() time.Duration { return time.Since(l.start) }
+
+func (l *Ledger) open(id string, sidecar int, order bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records[id] = &record{sidecar: sidecar, order: order, sent: l.Since(), outcome: Unfinished}
+}
+
+func (l *Ledger) close(id string, outcome Outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.records[id]
+	r.outcome, r.took = outcome, l.Since()-r.sent
+}
+
+// Known tells whether a client sent this id.
+func (l *Ledger) Known(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.records[id] != nil
+}
+
+// Ran records that a server began to run a request.
+func (l *Ledger) Ran(id, server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.records[id]; r != nil {
+		r.ranAt = append(r.ranAt, server)
+	}
+}
+
+// Strange records an id that no client sent.
+func (l *Ledger) Strange(server, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.strange = append(l.strange, server+":"+id)
+}
+
+// AfterDrain records a request that came to a server over 1.5 s into its drain.
+func (l *Ledger) AfterDrain(server, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.afterDrain = append(l.afterDrain, server+":"+id)
+}
+
+// client is the application beside one sidecar.
+type client struct {
+	index    int
+	exp      *Experiment
+	ledger   *Ledger
+	http     *http.Client
+	sidecars *Sidecars
+}
+
+func newClient(index int, exp *Experiment, ledger *Ledger, sidecars *Sidecars) *client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+	return &client{index: index, exp: exp, ledger: ledger, sidecars: sidecars, http: &http.Client{Transport: transport}}
+}
+
+// run sends the sidecar's arrivals open-loop, each at its time, and returns
+// when every one has an outcome.
+func (c *client) run(ctx context.Context, arrivals []time.Duration) {
+	var wg sync.WaitGroup
+	for i, at := range arrivals {
+		if wait := at - c.ledger.Since(); wait > 0 {
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+				wg.Wait()
+				return
+			}
+		}
+		id := fmt.Sprintf("%02x%06x%08x", c.index, i, uint32(c.exp.Seed))
+		order := float64(i%1000)/1000 < c.exp.Load.OrderShare
+		if !c.sidecars.Accepting(c.index) {
+			continue // the application stops and starts with its sidecar
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c.send(id, order)
+		}()
+	}
+	wg.Wait()
+}
+
+func (c *client) send(id string, order bool) {
+	deadline := c.exp.Load.Deadline.Duration
+	method, class, body := http.MethodGet, "read", ""
+	if order {
+		method, class, body = http.MethodPost, "order", "order "+id
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+time.Second)
+	defer cancel()
+	r, _ := http.NewRequestWithContext(ctx, method, "http://"+c.sidecars.Listen(c.index)+"/"+class+"/"+id, nil)
+	if body != "" {
+		r, _ = http.NewRequestWithContext(ctx, method, r.URL.String(), strings.NewReader(body))
+		r.ContentLength = int64(len(body))
+	}
+	r.Header.Set("X-Correlation-Id", id)
+	r.Header.Set("X-Service-Class", class)
+	r.Header.Set("X-Time-Left-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	c.ledger.open(id, c.index, order)
+	sent := c.ledger.Since()
+	response, err := c.http.Do(r)
+	if err != nil {
+		c.ledger.close(id, c.failure(err, sent))
+		return
+	}
+	answer, err := io.ReadAll(response.Body)
+	response.Body.Close()
+	switch {
+	case err != nil:
+		c.ledger.close(id, c.failure(err, sent))
+	case response.StatusCode == http.StatusOK && string(answer) != "ok:"+id:
+		c.ledger.close(id, Forged)
+	case response.StatusCode == http.StatusOK && c.ledger.Since()-sent > deadline+50*time.Millisecond:
+		c.ledger.close(id, Late)
+	case response.StatusCode == http.StatusOK:
+		c.ledger.close(id, Served)
+	case response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable:
+		c.ledger.close(id, Refused)
+	default:
+		c.ledger.close(id, Failed)
+	}
+}
+
+// failure classes a request without a whole answer: never taken where the
+// connection never came up; cut where its sidecar was killed or paused while
+// it was out; lost otherwise.
+func (c *client) failure(err error, sent time.Duration) Outcome {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return Unreached
+	}
+	if c.sidecars.Crashed(c.index, sent, c.ledger.Since()) {
+		return Cut
+	}
+	return Lost
+}
--- /dev/null
+++ b/internal/lab/standin.go
@@ -0,0 +1,288 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// PinServer is a stand-in pin server after the platform's protocol: it runs
+// up to Capacity requests at once with Queue more waiting, turns the rest
+// away with 503 and X-Unprocessed: 1, answers 200 with "ok:" and the
+// request's id as body (or 500 at the error rate), gives a load report in
+// X-Backend-Load and at /stats, is slower while cold, and records every id
+// that it ran.
+type PinServer struct {
+	Name string
+	Zone string
+
+	spec     Server
+	listener net.Listener
+	http     *http.Server
+	slots    chan struct{} // capacity
+	waiting  chan struct{} // capacity + queue
+	ledger   *Ledger
+	random   *rand.Rand
+	mu       sync.Mutex
+	born     time.Time
+	drained  time.Time // when discovery first told Terminating; zero while not
+	inflight int
+}
+
+// NewPinServer listens on a loopback port of the system's choice.
+func NewPinServer(name, zone string, spec Server, ledger *Ledger, seed uint64) (*PinServer, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("pin server %s: %w", name, err)
+	}
+	s := &PinServer{Name: name, Zone: zone, spec: spec, listener: listener, ledger: ledger,
+		slots: make(chan struct{}, spec.Capacity), waiting: make(chan struct{}, spec.Capacity+spec.Queue),
+		random: rand.New(rand.NewPCG(seed, 0x5e)), born: time.Now()}
+	s.http = &http.Server{Handler: s, IdleTimeout: 5 * time.Second, ReadHeaderTimeout: 5 * time.Second}
+	go s.http.Serve(listener)
+	return s, nil
+}
+
+// Address is where the server listens, host:port.
+func (s *PinServer) Address() string { return s.listener.Addr().String() }
+
+// Close stops the server at once.
+func (s *PinServer) Close() { s.http.Close() }
+
+// SetDrained marks when the server began to drain (zero: it serves again,
+// started anew and cold).
+func (s *PinServer) SetDrained(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.IsZero() {
+		s.born = time.Now()
+	}
+	s.drained = at
+}
+
+func (s *PinServer) report() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("failed_ps=0,pending=%d", s.inflight)
+}
+
+// ServeHTTP answers one request.
+func (s *PinServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/health/live":
+		w.WriteHeader(http.StatusOK)
+		return
+	case "/stats":
+		io.WriteString(w, s.report())
+		return
+	}
+	id := r.Header.Get("X-Correlation-Id")
+	if id == "" {
+		http.NotFound(w, r)
+		return
+	}
+	io.Copy(io.Discard, r.Body) // a request starts on its last byte
+	if !s.ledger.Known(id) {
+		http.Error(w, "no client sent this id", http.StatusBadRequest)
+		s.ledger.Strange(s.Name, id)
+		return
+	}
+	s.mu.Lock()
+	drained := s.drained
+	s.mu.Unlock()
+	if !drained.IsZero() && time.Since(drained) > 1500*time.Millisecond {
+		s.ledger.AfterDrain(s.Name, id)
+	}
+	select {
+	case s.waiting <- struct{}{}:
+	default:
+		turnAway(w)
+		return
+	}
+	defer func() { <-s.waiting }()
+	select {
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-s.slots }()
+	s.ledger.Ran(id, s.Name)
+	s.mu.Lock()
+	s.inflight++
+	warmth := 1.0
+	if cold := s.spec.ColdStart.Duration; cold > 0 && time.Since(s.born) < cold {
+		warmth = 1 + 3*(1-float64(time.Since(s.born))/float64(cold))
+	}
+	took := time.Duration(float64(s.spec.Latency.Duration) * warmth * (0.5 + s.random.ExpFloat64()/2))
+	fails := s.random.Float64() < s.spec.ErrorRate
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.inflight--
+		s.mu.Unlock()
+	}()
+	select {
+	case <-time.After(took):
+	case <-r.Context().Done():
+		return
+	}
+	w.Header().Set("X-Backend-Load", s.report())
+	if fails {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(3+len(id)))
+	io.WriteString(w, "ok:"+id)
+}
+
+func turnAway(w http.ResponseWriter) {
+	w.Header().Set("X-Unprocessed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Host is one entry of discovery's list, as the protocol gives it.
+type Host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMs int64   `json:"born_ms"`
+}
+
+type registryAnswer struct {
+	Seq   int64  `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []Host `json:"hosts"`
+}
+
+// Discovery is a stand-in discovery agent: the whole list at
+// GET /registry/instances, and watches by ?after=SEQ&wait_ms=MS. It can go
+// silent (down) and can hold each change for a random time up to a lag, so
+// that changes may also be told out of order.
+type Discovery struct {
+	listener net.Listener
+	http     *http.Server
+	random   *rand.Rand
+
+	mu      sync.Mutex
+	seq     int64
+	hosts   map[string]Host
+	changed map[string]int64 // the seq at which each host last changed
+	order   []string
+	down    bool
+	lag     time.Duration
+	wake    chan struct{} // closed and made anew on every change
+}
+
+// NewDiscovery listens on a loopback port of the system's choice.
+func NewDiscovery(seed uint64) (*Discovery, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	d := &Discovery{listener: listener, random: rand.New(rand.NewPCG(seed, 0xd15c)),
+		hosts: map[string]Host{}, changed: map[string]int64{}, wake: make(chan struct{}), seq: 1}
+	d.http = &http.Server{Handler: d, ReadHeaderTimeout: 5 * time.Second}
+	go d.http.Serve(listener)
+	return d, nil
+}
+
+// Address is where the agent listens, host:port.
+func (d *Discovery) Address() string { return d.listener.Addr().String() }
+
+// Close stops the agent at once.
+func (d *Discovery) Close() { d.http.Close() }
+
+// Set puts a host's entry in the list, now or, under lag, a little later.
+func (d *Discovery) Set(h Host) {
+	d.mu.Lock()
+	lag := d.lag
+	d.mu.Unlock()
+	if lag <= 0 {
+		d.apply(h)
+		return
+	}
+	d.mu.Lock()
+	wait := time.Duration(d.random.Int64N(int64(lag)))
+	d.mu.Unlock()
+	time.AfterFunc(wait, func() { d.apply(h) })
+}
+
+func (d *Discovery) apply(h Host) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seq++
+	if _, ok := d.hosts[h.Host]; !ok {
+		d.order = append(d.order, h.Host)
+	}
+	d.hosts[h.Host], d.changed[h.Host] = h, d.seq
+	close(d.wake)
+	d.wake = make(chan struct{})
+}
+
+// SetDown makes the agent silent, or lets it answer again.
+func (d *Discovery) SetDown(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+	close(d.wake)
+	d.wake = make(chan struct{})
+}
+
+// SetLag holds each later change for up to this long (0: none).
+func (d *Discovery) SetLag(lag time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lag = lag
+}
+
+// ServeHTTP answers a call for the list or a watch.
+func (d *Discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/registry/instances" {
+		http.NotFound(w, r)
+		return
+	}
+	after, _ := strconv.ParseInt(r.FormValue("after"), 10, 64)
+	waitMs, _ := strconv.ParseInt(r.FormValue("wait_ms"), 10, 64)
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(min(waitMs, 60000))*time.Millisecond)
+	defer cancel()
+	for {
+		d.mu.Lock()
+		down, seq, wake := d.down, d.seq, d.wake
+		d.mu.Unlock()
+		if !down && (seq > after || ctx.Err() != nil) {
+			break
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			if down {
+				<-r.Context().Done() // silent while down, until the caller leaves
+				return
+			}
+		}
+	}
+	d.mu.Lock()
+	answer := registryAnswer{Seq: d.seq, Whole: after == 0 || r.FormValue("after") == ""}
+	for _, name := range d.order {
+		if whole := answer.Whole && d.hosts[name].Health != "Gone"; whole || !answer.Whole && d.changed[name] > after {
+			answer.Hosts = append(answer.Hosts, d.hosts[name])
+		}
+	}
+	d.mu.Unlock()
+	if answer.Hosts == nil {
+		answer.Hosts = []Host{}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(answer)
+}
