--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -658,14 +658,11 @@
 	return max(1, (b.load(now, e)+1)/b.width(e))
 }
 
-// paceNow is e's time per unit of work, longer while it is cold. Unseen for long, it is its zone's, so that
-// an endpoint once thought slow is tried again. All that is warm of a zone may be one that is slow, which
-// says nothing of those that have just started: for them it is no more than the fleet's.
+// paceNow is e's time per unit of work, longer while it is cold. Unseen for long, it is its zone's or the
+// fleet's, whichever is less, so that an endpoint once thought slow is tried again: all that is warm of a
+// zone may be one that is slow, which says nothing of those that have just started.
 func (e *endpoint) paceNow(now Micros, b *Balancer) float64 {
-	usual := b.zones[e.Zone].pace.or(1)
-	if e.cold(now, b) {
-		usual = min(usual, b.pace.or(1))
-	}
+	usual := min(b.zones[e.Zone].pace.or(b.pace.or(1)), b.pace.or(1))
 	trust := max(0, 1-float64(now-e.paceAt)/float64(paceLife)) * share(e.pace.seen)
 	return (usual + (e.pace.v-usual)*trust) / e.warmth(now, b)
 }
