--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -66,7 +66,7 @@
 //	partition  servers: silent both ways ("both"), or only to ("in") or from ("out") the server, healed after For
 //	delay      servers: every chunk each way waits Delay, for For
 //	reset      servers: open connections are reset, and new ones for For
-//	drain      servers: Terminating in discovery, then Gone; back (cold) after For
+//	drain      servers: Terminating in discovery; Ready again, and cold, after For
 //	discovery  (no targets): "down" is silent for For, "lag" holds each change up to Delay for For
 type Fault struct {
 	At        Duration `toml:"at"`
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -35,18 +35,13 @@
 	}
 	defer disco.Close()
 	servers := make([]*PinServer, exp.Fleet.Servers)
-	proxies := make([]*Proxy, exp.Fleet.Servers)
 	for i := range servers {
 		zone := exp.Fleet.Zones[i%len(exp.Fleet.Zones)]
 		if servers[i], err = NewPinServer(fmt.Sprintf("v%03d", i), zone, exp.Server, ledger, exp.Seed+uint64(i)); err != nil {
 			return nil, err
 		}
 		defer servers[i].Close()
-		if proxies[i], err = NewProxy(servers[i].Address()); err != nil {
-			return nil, err
-		}
-		defer proxies[i].Close()
-		disco.Set(host(servers[i], proxies[i], "Ready"))
+		disco.Set(host(servers[i], "Ready"))
 	}
 	sidecars := newSidecars(program, folder, exp, disco.Address(), ledger, log)
 	defer sidecars.Stop()
@@ -64,7 +59,7 @@
 	}
 	log.Info("the fleet is up", "sidecars", exp.Fleet.Sidecars, "servers", exp.Fleet.Servers, "discovery", disco.Address())
 	ledger.start = time.Now() // the lab's clock starts with the load
-	world := &world{exp: exp, disco: disco, servers: servers, proxies: proxies, sidecars: sidecars, ledger: ledger, log: log}
+	world := &world{exp: exp, disco: disco, servers: servers, sidecars: sidecars, ledger: ledger, log: log}
 	runCtx, cancel := context.WithTimeout(ctx, exp.Duration.Duration+exp.Load.Deadline.Duration+10*time.Second)
 	defer cancel()
 	var played []Mark
@@ -95,11 +90,11 @@
 	return result, nil
 }
 
-func host(s *PinServer, p *Proxy, health string) Host {
+func host(s *PinServer, health string) Host {
 	s.mu.Lock()
 	born := s.born.UnixMilli()
 	s.mu.Unlock()
-	return Host{Host: s.Name, Dial: p.Address(), Site: s.Zone, Class: "m", Health: health, Share: 1, BornMs: born}
+	return Host{Host: s.Name, Dial: s.Address(), Site: s.Zone, Class: "m", Health: health, Share: 1, BornMs: born}
 }
 
 // world is what the schedule acts on.
@@ -107,7 +102,6 @@
 	exp      *Experiment
 	disco    *Discovery
 	servers  []*PinServer
-	proxies  []*Proxy
 	sidecars *Sidecars
 	ledger   *Ledger
 	log      *slog.Logger
@@ -158,7 +152,8 @@
 		}
 	}
 	for _, i := range f.Servers {
-		p, s := w.proxies[i], w.servers[i]
+		s := w.servers[i]
+		p := s.Faults
 		switch f.Kind {
 		case "partition":
 			in, out := f.Direction != "out", f.Direction != "in"
@@ -173,10 +168,10 @@
 		case "drain":
 			if ev.Heal {
 				s.SetDrained(time.Time{})
-				w.disco.Set(host(s, p, "Ready"))
+				w.disco.Set(host(s, "Ready"))
 			} else {
 				s.SetDrained(time.Now())
-				w.disco.Set(host(s, p, "Terminating"))
+				w.disco.Set(host(s, "Terminating"))
 			}
 		}
 	}
--- a/internal/lab/proxy.go
+++ b/internal/lab/proxy.go
@@ -7,102 +7,139 @@
 	"time"
 )
 
-// Proxy stands between sidecars and one pin server on loopback and makes
-// faults of the network there: a partition (silent, both ways or one way,
-// with connections that lived through it reset on its end, as a machine's
-// return does), a delay of every chunk, and resets.
-type Proxy struct {
-	listener net.Listener
-	target   string
+// Faults wraps a listener and makes faults of the network on the
+// connections it accepts, in the lab's own process at one descriptor a
+// connection: a partition (silent, both ways or one way; new connections
+// never come up, and those that lived through it are reset at its end, as a
+// machine's return does), a delay of every chunk, and resets.
+type Faults struct {
+	net.Listener
 
 	mu        sync.Mutex
 	blockIn   bool // bytes to the server are held
 	blockOut  bool // bytes from the server are held
 	delay     time.Duration
 	resetting bool
-	conns     map[*proxied]struct{}
 	closed    bool
+	conns     map[*faultConn]struct{}
 	gate      chan struct{} // closed and made anew when the state changes
 }
 
-type proxied struct {
-	client, server net.Conn
-	cutOff         bool // lived through a partition
+// NewFaults wraps inner; none is on at first.
+func NewFaults(inner net.Listener) *Faults {
+	return &Faults{Listener: inner, conns: map[*faultConn]struct{}{}, gate: make(chan struct{})}
 }
 
-// NewProxy listens on a loopback port of the system's choice and forwards to target.
-func NewProxy(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// Listen makes a loopback listener on a port of the system's choice, with faults.
+func Listen() (*Faults, error) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, fmt.Errorf("proxy to %s: %w", target, err)
+		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, conns: map[*proxied]struct{}{}, gate: make(chan struct{})}
-	go p.accept()
-	return p, nil
+	return NewFaults(inner), nil
 }
 
-// Address is where sidecars dial, host:port.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
-
-// Close stops the proxy and every connection through it.
-func (p *Proxy) Close() {
-	p.listener.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closed = true
-	p.changed()
-	for c := range p.conns {
-		c.client.Close()
-		if c.server != nil {
-			c.server.Close()
+func (f *Faults) changed() {
+	close(f.gate)
+	f.gate = make(chan struct{})
+}
+
+// wait blocks until open says yes (true) or c or the listener is closed (false).
+func (f *Faults) wait(c *faultConn, open func() bool) bool {
+	for {
+		f.mu.Lock()
+		ok, gate, closed := open(), f.gate, f.closed || c.closed
+		f.mu.Unlock()
+		if closed {
+			return false
+		}
+		if ok {
+			return true
+		}
+		<-gate
+	}
+}
+
+// Accept returns the next connection that comes up: while a partition lasts,
+// connections are held silent and reset at its end; while resets are on,
+// each is reset at once.
+func (f *Faults) Accept() (net.Conn, error) {
+	for {
+		inner, err := f.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &faultConn{Conn: inner, faults: f}
+		f.mu.Lock()
+		resetting, parted := f.resetting, f.blockIn || f.blockOut
+		if !resetting {
+			f.conns[c] = struct{}{}
+			c.cutOff = parted
+		}
+		f.mu.Unlock()
+		switch {
+		case resetting:
+			reset(inner)
+		case parted:
+			go f.wait(c, func() bool { return false }) // held until reset or closed
+		default:
+			return c, nil
 		}
 	}
 }
 
-func (p *Proxy) changed() {
-	close(p.gate)
-	p.gate = make(chan struct{})
+// Close stops the listener and every connection it accepted.
+func (f *Faults) Close() error {
+	err := f.Listener.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
+	for c := range f.conns {
+		c.Conn.Close()
+	}
+	f.changed()
+	return err
 }
 
 // Partition holds bytes to the server (in), from it (out), or both. Heal
 // with both false: connections that lived through it are then reset.
-func (p *Proxy) Partition(in, out bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.blockIn, p.blockOut = in, out
-	for c := range p.conns {
+func (f *Faults) Partition(in, out bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.blockIn, f.blockOut = in, out
+	for c := range f.conns {
 		if in || out {
 			c.cutOff = true
 		} else if c.cutOff {
-			reset(c.client)
-			if c.server != nil {
-				reset(c.server)
-			}
+			c.closed = true
+			reset(c.Conn)
+			delete(f.conns, c)
 		}
 	}
-	p.changed()
+	f.changed()
 }
 
 // Delay makes every chunk wait this long each way (0: none).
-func (p *Proxy) Delay(d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.delay = d
-	p.changed()
+func (f *Faults) Delay(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay = d
+	f.changed()
 }
 
 // Reset resets every open connection, and while on, every new one.
-func (p *Proxy) Reset(on bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.resetting = on
-	for c := range p.conns {
-		reset(c.client)
-		if c.server != nil {
-			reset(c.server)
+func (f *Faults) Reset(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.resetting = on
+	if on {
+		for c := range f.conns {
+			c.closed = true
+			reset(c.Conn)
+			delete(f.conns, c)
 		}
 	}
-	p.changed()
+	f.changed()
 }
 
 func reset(c net.Conn) {
@@ -112,101 +149,116 @@
 	c.Close()
 }
 
-func (p *Proxy) accept() {
-	for {
-		conn, err := p.listener.Accept()
-		if err != nil {
-			return
-		}
-		go p.serve(conn)
-	}
+// faultConn is one accepted connection under its listener's faults.
+type faultConn struct {
+	net.Conn
+	faults *Faults
+	cutOff bool // lived through a partition
+	closed bool
 }
 
-func (p *Proxy) serve(client net.Conn) {
-	c := &proxied{client: client}
-	p.mu.Lock()
-	if p.resetting {
-		p.mu.Unlock()
-		reset(client)
-		return
+func (c *faultConn) pass(blocked func() bool) error {
+	if !c.faults.wait(c, func() bool { return !blocked() }) {
+		return net.ErrClosed
 	}
-	p.conns[c] = struct{}{}
-	c.cutOff = p.blockIn || p.blockOut
-	p.mu.Unlock()
-	defer func() {
-		p.mu.Lock()
-		delete(p.conns, c)
-		p.mu.Unlock()
-		client.Close()
-		if c.server != nil {
-			c.server.Close()
+	c.faults.mu.Lock()
+	delay := c.faults.delay
+	c.faults.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	return nil
+}
+
+// Read passes on what came once the way to the server is open.
+func (c *faultConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		if held := c.pass(func() bool { return c.faults.blockIn }); held != nil {
+			return 0, held
 		}
-	}()
-	// A machine cut off lets no new connection come up: wait silently.
-	if !p.wait(func() bool { return !p.blockIn && !p.blockOut }) {
-		return
 	}
-	server, err := net.DialTimeout("tcp", p.target, 2*time.Second)
-	if err != nil {
-		reset(client)
-		return
+	return n, err
+}
+
+// Write sends once the way from the server is open.
+func (c *faultConn) Write(b []byte) (int, error) {
+	if err := c.pass(func() bool { return c.faults.blockOut }); err != nil {
+		return 0, err
 	}
-	p.mu.Lock()
-	c.server = server
-	p.mu.Unlock()
-	done := make(chan struct{}, 2)
-	go func() { p.pump(server, client, func() bool { return p.blockIn }); done <- struct{}{} }()
-	go func() { p.pump(client, server, func() bool { return p.blockOut }); done <- struct{}{} }()
-	<-done
+	return c.Conn.Write(b)
 }
 
-// wait blocks until open says yes (true), or the proxy is closed (false).
-func (p *Proxy) wait(open func() bool) bool {
-	for {
-		p.mu.Lock()
-		ok, gate := open(), p.gate
-		p.mu.Unlock()
-		if ok {
-			return true
-		}
-		select {
-		case <-gate:
-		}
-		p.mu.Lock()
-		closed := p.closed
-		p.mu.Unlock()
-		if closed {
-			return false
-		}
+// Close ends the connection.
+func (c *faultConn) Close() error {
+	c.faults.mu.Lock()
+	c.closed = true
+	delete(c.faults.conns, c)
+	c.faults.changed()
+	c.faults.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Proxy forwards loopback connections to a target through Faults, for a
+// target that is not the lab's own (two descriptors a connection).
+type Proxy struct {
+	*Faults
+	target string
+}
+
+// NewProxy listens on a loopback port of the system's choice and forwards to target.
+func NewProxy(target string) (*Proxy, error) {
+	faults, err := Listen()
+	if err != nil {
+		return nil, fmt.Errorf("proxy to %s: %w", target, err)
 	}
+	p := &Proxy{Faults: faults, target: target}
+	go func() {
+		for {
+			conn, err := faults.Accept()
+			if err != nil {
+				return
+			}
+			go p.forward(conn)
+		}
+	}()
+	return p, nil
 }
 
+// Address is where to dial, host:port.
+func (p *Proxy) Address() string { return p.Addr().String() }
+
 var buffers = sync.Pool{New: func() any { return new([16 << 10]byte) }}
 
-// pump copies from src to dst through a pooled buffer, holding each chunk
-// while blocked says so and for the delay.
-func (p *Proxy) pump(dst, src net.Conn, blocked func() bool) {
-	buffer := buffers.Get().(*[16 << 10]byte)
-	defer buffers.Put(buffer)
-	for {
-		n, err := src.Read(buffer[:])
-		if n > 0 {
-			p.wait(func() bool { return !blocked() })
-			p.mu.Lock()
-			delay := p.delay
-			p.mu.Unlock()
-			if delay > 0 {
-				time.Sleep(delay)
+func (p *Proxy) forward(client net.Conn) {
+	defer client.Close()
+	server, err := net.DialTimeout("tcp", p.target, 2*time.Second)
+	if err != nil {
+		reset(client)
+		return
+	}
+	defer server.Close()
+	done := make(chan struct{}, 2)
+	copyThrough := func(dst, src net.Conn) {
+		buffer := buffers.Get().(*[16 << 10]byte)
+		defer buffers.Put(buffer)
+		for {
+			n, err := src.Read(buffer[:])
+			if n > 0 {
+				if _, werr := dst.Write(buffer[:n]); werr != nil {
+					break
+				}
 			}
-			if _, werr := dst.Write(buffer[:n]); werr != nil {
-				return
+			if err != nil {
+				break
 			}
 		}
-		if err != nil {
-			if tcp, ok := dst.(*net.TCPConn); ok {
-				tcp.CloseWrite()
-			}
-			return
+		if tcp, ok := dst.(*net.TCPConn); ok {
+			tcp.CloseWrite()
 		}
+		done <- struct{}{}
 	}
+	go copyThrough(server, client)
+	go copyThrough(client, server)
+	<-done
 }
--- a/internal/lab/standin.go
+++ b/internal/lab/standin.go
@@ -24,7 +24,7 @@
 	Zone string
 
 	spec     Server
-	listener net.Listener
+	Faults   *Faults // of the network between sidecars and this server
 	http     *http.Server
 	slots    chan struct{} // capacity
 	waiting  chan struct{} // capacity + queue
@@ -36,13 +36,13 @@
 	inflight int
 }
 
-// NewPinServer listens on a loopback port of the system's choice.
+// NewPinServer listens on a loopback port of the system's choice, with Faults.
 func NewPinServer(name, zone string, spec Server, ledger *Ledger, seed uint64) (*PinServer, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := Listen()
 	if err != nil {
 		return nil, fmt.Errorf("pin server %s: %w", name, err)
 	}
-	s := &PinServer{Name: name, Zone: zone, spec: spec, listener: listener, ledger: ledger,
+	s := &PinServer{Name: name, Zone: zone, spec: spec, Faults: listener, ledger: ledger,
 		slots: make(chan struct{}, spec.Capacity), waiting: make(chan struct{}, spec.Capacity+spec.Queue),
 		random: rand.New(rand.NewPCG(seed, 0x5e)), born: time.Now()}
 	s.http = &http.Server{Handler: s, IdleTimeout: 5 * time.Second, ReadHeaderTimeout: 5 * time.Second}
@@ -51,7 +51,7 @@
 }
 
 // Address is where the server listens, host:port.
-func (s *PinServer) Address() string { return s.listener.Addr().String() }
+func (s *PinServer) Address() string { return s.Faults.Addr().String() }
 
 // Close stops the server at once.
 func (s *PinServer) Close() { s.http.Close() }
