--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -35,6 +35,7 @@
 	Sidecars int      `toml:"sidecars"` // 1 to 64
 	Servers  int      `toml:"servers"`  // 1 to 1000
 	Zones    []string `toml:"zones"`    // servers and sidecars are dealt to them in turn
+	Peers    bool     `toml:"peers"`    // sidecars share probes' answers by datagram, through the lab
 }
 
 // Server is how every stand-in pin server behaves.
@@ -68,6 +69,8 @@
 //	reset      servers: open connections are reset, and new ones for For
 //	drain      servers: Terminating in discovery; Ready again, and cold, after For
 //	discovery  (no targets): "down" is silent for For, "lag" holds each change up to Delay for For
+//	isolate    sidecars: datagrams to ("in") and from ("out") them, or both, dropped for For
+//	peers      (no targets): a Share of all datagrams dropped and the rest held Delay, for For
 type Fault struct {
 	At        Duration `toml:"at"`
 	Kind      string   `toml:"kind"`
@@ -76,7 +79,8 @@
 	For       Duration `toml:"for"`
 	Direction string   `toml:"direction"` // partition: "both", "in" or "out"
 	Delay     Duration `toml:"delay"`
-	Mode      string   `toml:"mode"` // discovery: "down" or "lag"
+	Mode      string   `toml:"mode"`  // discovery: "down" or "lag"
+	Share     float64  `toml:"share"` // peers: the share of datagrams dropped, 0 to 1
 }
 
 // Chaos draws Count faults of one kind from the seed, each on one target drawn
@@ -100,7 +104,7 @@
 // MarshalText writes Go's form of a duration.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
 
-var sidecarKinds = []string{"kill", "pause", "term"}
+var sidecarKinds = []string{"kill", "pause", "term", "isolate"}
 var serverKinds = []string{"partition", "delay", "reset", "drain"}
 
 // Parse reads an experiment from TOML text; name is the file's, for errors.
@@ -158,6 +162,8 @@
 		switch {
 		case !slices.Contains(sidecarKinds, c.Kind) && !slices.Contains(serverKinds, c.Kind):
 			return fmt.Errorf("chaos[%d].kind: %q is not a kind of fault with targets", i, c.Kind)
+		case c.Kind == "isolate" && !e.Fleet.Peers:
+			return fmt.Errorf("chaos[%d].kind: \"isolate\" needs fleet.peers", i)
 		case c.Count < 0 || c.Count > 1000:
 			return fmt.Errorf("chaos[%d].count: %d is not within 0 to 1000", i, c.Count)
 		case c.For.Duration < 0:
@@ -184,18 +190,23 @@
 		return fmt.Errorf("at: %v is not within the duration", f.At)
 	case f.For.Duration < 0:
 		return fmt.Errorf("for: is negative")
+	case (f.Kind == "isolate" || f.Kind == "peers") && !e.Fleet.Peers:
+		return fmt.Errorf("kind: %q needs fleet.peers", f.Kind)
+	case !slices.Contains([]string{"", "both", "in", "out"}, f.Direction):
+		return fmt.Errorf("direction: %q is not \"both\", \"in\" or \"out\"", f.Direction)
+	case f.Share < 0 || f.Share > 1:
+		return fmt.Errorf("share: %v is not within 0 to 1", f.Share)
 	case slices.Contains(sidecarKinds, f.Kind):
 		return inRange("sidecars", f.Sidecars, e.Fleet.Sidecars)
 	case slices.Contains(serverKinds, f.Kind):
-		if f.Kind == "partition" && !slices.Contains([]string{"", "both", "in", "out"}, f.Direction) {
-			return fmt.Errorf("direction: %q is not \"both\", \"in\" or \"out\"", f.Direction)
-		}
 		return inRange("servers", f.Servers, e.Fleet.Servers)
 	case f.Kind == "discovery":
 		if f.Mode != "down" && f.Mode != "lag" {
 			return fmt.Errorf("mode: %q is neither \"down\" nor \"lag\"", f.Mode)
 		}
 		return nil
+	case f.Kind == "peers":
+		return nil
 	}
 	return fmt.Errorf("kind: %q is not a known fault", f.Kind)
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -43,7 +43,14 @@
 		defer servers[i].Close()
 		disco.Set(host(servers[i], "Ready"))
 	}
-	sidecars := newSidecars(program, folder, exp, disco.Address(), ledger, log)
+	var peers *Peers
+	if exp.Fleet.Peers {
+		if peers, err = NewPeers(exp.Fleet.Sidecars, exp.Seed); err != nil {
+			return nil, err
+		}
+		defer peers.Close()
+	}
+	sidecars := newSidecars(program, folder, exp, disco.Address(), peers, ledger, log)
 	defer sidecars.Stop()
 	var starting sync.WaitGroup
 	errs := make([]error, exp.Fleet.Sidecars)
@@ -59,7 +66,7 @@
 	}
 	log.Info("the fleet is up", "sidecars", exp.Fleet.Sidecars, "servers", exp.Fleet.Servers, "discovery", disco.Address())
 	ledger.start = time.Now() // the lab's clock starts with the load
-	world := &world{exp: exp, disco: disco, servers: servers, sidecars: sidecars, ledger: ledger, log: log}
+	world := &world{exp: exp, disco: disco, servers: servers, peers: peers, sidecars: sidecars, ledger: ledger, log: log}
 	runCtx, cancel := context.WithTimeout(ctx, exp.Duration.Duration+exp.Load.Deadline.Duration+10*time.Second)
 	defer cancel()
 	var played []Mark
@@ -87,6 +94,9 @@
 	result := reckon(exp, ledger, played)
 	result.SidecarCPUSeconds, result.SidecarMeanMB, result.SidecarPeakMB = sidecars.Cost()
 	result.LabCPUSeconds, result.LabPeakMB = selfCost()
+	if peers != nil {
+		result.Datagrams.Relayed, result.Datagrams.Dropped, result.Datagrams.Oversize, result.Datagrams.Strange = peers.Counts()
+	}
 	return result, nil
 }
 
@@ -102,6 +112,7 @@
 	exp      *Experiment
 	disco    *Discovery
 	servers  []*PinServer
+	peers    *Peers
 	sidecars *Sidecars
 	ledger   *Ledger
 	log      *slog.Logger
@@ -137,6 +148,8 @@
 	f := ev.Fault
 	for _, i := range f.Sidecars {
 		switch {
+		case f.Kind == "isolate":
+			w.peers.Isolate(i, !ev.Heal && f.Direction != "out", !ev.Heal && f.Direction != "in")
 		case f.Kind == "kill" && !ev.Heal:
 			w.sidecars.Kill(i)
 		case f.Kind == "pause" && !ev.Heal:
@@ -175,6 +188,13 @@
 			}
 		}
 	}
+	if f.Kind == "peers" {
+		if ev.Heal {
+			w.peers.Degrade(0, 0)
+		} else {
+			w.peers.Degrade(f.Share, f.Delay.Duration)
+		}
+	}
 	if f.Kind == "discovery" {
 		switch {
 		case f.Mode == "down":
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -51,7 +51,8 @@
 }
 
 // The CI-sized experiment: 5 sidecars, 8 servers, kill -9 of one sidecar and
-// a partition of two servers; no request is lost, forged or run twice.
+// a partition of two servers, with faults between peers too; no request is
+// lost, forged or run twice, and no datagram is too long.
 func TestKillAndPartitionLoseNothing(t *testing.T) {
 	exp := experiment(t, "../../lab/ci.toml")
 	folder := t.TempDir()
@@ -66,8 +67,11 @@
 	if served := result.Outcomes[Served]; served < result.Requests*9/10 {
 		t.Errorf("served %d of %d", served, result.Requests)
 	}
-	if len(result.Faults) != 4 {
-		t.Errorf("faults played: %v, want the kill, the partition and their ends", result.Faults)
+	if len(result.Faults) != 8 {
+		t.Errorf("faults played: %v, want 4 and their ends", result.Faults)
+	}
+	if d := result.Datagrams; d.Relayed == 0 || d.Dropped == 0 || d.Strange > 0 {
+		t.Errorf("datagrams %+v, want some relayed and some dropped, none from strangers", d)
 	}
 	if err := MergeLogs(folder, filepath.Join(folder, "merged.jsonl")); err != nil {
 		t.Fatal(err)
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -24,6 +24,7 @@
 	folder  string // configurations and logs
 	exp     *Experiment
 	disco   string
+	peers   *Peers // nil without peers
 	ledger  *Ledger
 	log     *slog.Logger
 
@@ -47,8 +48,8 @@
 // stillDown marks a window that has not ended.
 const stillDown = time.Duration(1<<63 - 1)
 
-func newSidecars(program, folder string, exp *Experiment, disco string, ledger *Ledger, log *slog.Logger) *Sidecars {
-	s := &Sidecars{program: program, folder: folder, exp: exp, disco: disco, ledger: ledger, log: log}
+func newSidecars(program, folder string, exp *Experiment, disco string, peers *Peers, ledger *Ledger, log *slog.Logger) *Sidecars {
+	s := &Sidecars{program: program, folder: folder, exp: exp, disco: disco, peers: peers, ledger: ledger, log: log}
 	for range exp.Fleet.Sidecars {
 		s.procs = append(s.procs, &proc{})
 	}
@@ -84,15 +85,26 @@
 func (s *Sidecars) config(i int, listen string) []byte {
 	zones, _ := json.Marshal(s.exp.Fleet.Zones)
 	deadline := s.exp.Load.Deadline.Microseconds()
-	return fmt.Appendf(nil, `{"name":"s%d","listen":%q,"discovery":%q,"seed":"%x",
+	peers, tell := "", false
+	if s.peers != nil {
+		var known []string
+		for j := range s.exp.Fleet.Sidecars {
+			known = append(known, s.peers.Known(j))
+		}
+		list, _ := json.Marshal(known)
+		peers, tell = fmt.Sprintf(`"peer_listen":%q,"peers_all":%q,"peers":%s,`, s.peers.Listen(i), s.peers.Hub(), list), true
+	}
+	return fmt.Appendf(nil, `{"name":"s%d","listen":%q,"discovery":%q,"seed":"%x",%s
 "limits":{"memory_mb":192,"sockets":1024},"known":{"seq":0,"whole":true,"hosts":[]},
 "settings":{"areas":%s,"skus":["m"],"stages":["s"],"tenants":[],"discovery":"subscribe",
 "classes":[{"name":"read","repeat":"pure","target":%d,"give-up":%d,"credit":1},
  {"name":"order","repeat":"side_effect","target":%d,"give-up":%d,"credit":1}],
 "contract":{"answer-slack":20000,"ask-within":1000000,"cold-from":0.3,"drain-grace":1000000,"fall-multiple":2.5,"overload-for":1000000,"ramp-time":1},
-"limits":{"cancel":true,"dial-timeout":250000,"keepalive":5000000,"max-retry-after":1500000,"most-held":1000,"most-tries":3,"multiplex":1,"probes":true,"retry-after":true,"second-copies":true},
-"reporting":{"how":"probe","fields":["failed_ps","pending"]},"peers-total":1,"position":0,"zone":%d}}`,
-		i, listen, s.disco, s.exp.Seed*1000+uint64(i), zones, deadline*6/10, deadline, deadline*6/10, deadline, i%len(s.exp.Fleet.Zones))
+"limits":{"may-tell":%t,"cancel":true,"dial-timeout":250000,"keepalive":5000000,"max-retry-after":1500000,"most-held":1000,"most-tries":3,"multiplex":1,"probes":true,"retry-after":true,"second-copies":true},
+"prices":{"probe":1,"peer":0.01},
+"reporting":{"how":"probe","fields":["failed_ps","pending"]},"peers-total":%d,"position":%d,"zone":%d}}`,
+		i, listen, s.disco, s.exp.Seed*1000+uint64(i), peers, zones, deadline*6/10, deadline, deadline*6/10, deadline, tell,
+		s.exp.Fleet.Sidecars, i, i%len(s.exp.Fleet.Zones))
 }
 
 // Start starts sidecar i and waits for its yes at /health/ready. A port that
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -38,6 +38,14 @@
 	Series     []Second       `json:"series"`
 	Faults     []Mark         `json:"faults"`
 	Examples   map[string]any `json:"examples"` // a few ids of each breach, to follow in the logs
+	// Datagrams between sidecars, where they have peers: relayed, dropped by
+	// faults, longer than 256 bytes (a breach), and from no sidecar.
+	Datagrams struct {
+		Relayed  int `json:"relayed"`
+		Dropped  int `json:"dropped"`
+		Oversize int `json:"oversize"`
+		Strange  int `json:"strange"`
+	} `json:"datagrams"`
 
 	SidecarCPUSeconds float64 `json:"sidecar_cpu_s"`   // over all sidecars
 	SidecarMeanMB     float64 `json:"sidecar_mean_mb"` // peak resident memory of one, mean
@@ -65,7 +73,7 @@
 // Breaches counts what breaks the rules: lost, forged, run twice, sent to a
 // server long drained, ids no client sent.
 func (r *Result) Breaches() int {
-	return r.Outcomes[Lost] + r.Outcomes[Forged] + r.Outcomes[Unfinished] + r.RanTwice + r.AfterDrain + r.Strange
+	return r.Outcomes[Lost] + r.Outcomes[Forged] + r.Outcomes[Unfinished] + r.RanTwice + r.AfterDrain + r.Strange + r.Datagrams.Oversize
 }
 
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 120_000_000, 3) } // µs
@@ -166,9 +174,9 @@
 
 // Summary is a few lines for people.
 func (r *Result) Summary() string {
-	return fmt.Sprintf("%s: %d sidecars, %d servers, %d requests\noutcomes %v\nran twice %d, copies %d, after drain %d, strange %d; breaches %d\n"+
+	return fmt.Sprintf("%s: %d sidecars, %d servers, %d requests\noutcomes %v\nran twice %d, copies %d, after drain %d, strange %d; datagrams %+v; breaches %d\n"+
 		"latency ms p50 %.1f p99 %.1f p99.9 %.1f max %.1f\nsidecars: %.1f CPU s, %.1f MB mean peak, %.1f MB largest; lab: %.1f CPU s, %.1f MB\n",
-		r.Name, r.Sidecars, r.Servers, r.Requests, r.Outcomes, r.RanTwice, r.Copies, r.AfterDrain, r.Strange, r.Breaches(),
+		r.Name, r.Sidecars, r.Servers, r.Requests, r.Outcomes, r.RanTwice, r.Copies, r.AfterDrain, r.Strange, r.Datagrams, r.Breaches(),
 		r.Latency.P50, r.Latency.P99, r.Latency.P999, r.Latency.Max, r.SidecarCPUSeconds, r.SidecarMeanMB, r.SidecarPeakMB, r.LabCPUSeconds, r.LabPeakMB)
 }
 
