--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -239,3 +239,47 @@
 		t.Errorf("down: %s, want silence", silent)
 	}
 }
+
+// A port taken meanwhile is tried anew; a sidecar that will not end on
+// SIGTERM (here a paused one) ends by SIGKILL.
+func TestTakenPortAndStubbornChild(t *testing.T) {
+	exp, err := Parse("e.toml", []byte("duration = \"5s\"\n[fleet]\nsidecars = 1\nservers = 1\n[load]\nrate = 5\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	disco, err := NewDiscovery(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer disco.Close()
+	server, err := NewPinServer("v0", "a", exp.Server, NewLedger(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	disco.Set(host(server, "Ready"))
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	s := newSidecars(filepath.Join(programs, "pinedale"), t.TempDir(), exp, disco.Address(), nil, NewLedger(), slog.New(slog.DiscardHandler))
+	defer s.Stop()
+	s.procs[0].listen = taken.Addr().String()
+	if err := s.Start(0); err != nil {
+		t.Fatal(err)
+	}
+	if s.Listen(0) == taken.Addr().String() {
+		t.Error("the sidecar kept a port that was taken")
+	}
+	s.Pause(0)
+	s.Term(0)
+	select {
+	case <-s.procs[0].exited:
+	default:
+		t.Error("a paused sidecar outlived its SIGTERM")
+	}
+	if !s.Crashed(0, 0, s.ledger.Since()) {
+		t.Error("the SIGKILL of a paused sidecar is not a crash")
+	}
+}
