--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -41,7 +41,7 @@
 			return nil, err
 		}
 		defer servers[i].Close()
-		disco.Set(host(servers[i], "Ready"))
+		disco.Set(host(servers[i], "Ready"), nil)
 	}
 	var peers *Peers
 	if exp.Fleet.Peers {
@@ -181,10 +181,9 @@
 		case "drain":
 			if ev.Heal {
 				s.SetDrained(time.Time{})
-				w.disco.Set(host(s, "Ready"))
-			} else {
-				s.SetDrained(time.Now())
-				w.disco.Set(host(s, "Terminating"))
+				w.disco.Set(host(s, "Ready"), nil)
+			} else { // the 1.5 s run from when discovery can tell it
+				w.disco.Set(host(s, "Terminating"), func() { s.SetDrained(time.Now()) })
 			}
 		}
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -216,7 +216,7 @@
 		t.Fatal(err)
 	}
 	defer d.Close()
-	d.Set(Host{Host: "v1", Dial: "127.0.0.1:9", Health: "Ready"})
+	d.Set(Host{Host: "v1", Dial: "127.0.0.1:9", Health: "Ready"}, nil)
 	get := func(query string, timeout time.Duration) string {
 		client := http.Client{Timeout: timeout}
 		r, err := client.Get("http://" + d.Address() + "/registry/instances" + query)
@@ -230,7 +230,7 @@
 	if whole := get("", time.Second); !strings.Contains(whole, `"whole":true`) || !strings.Contains(whole, "v1") {
 		t.Errorf("the whole list: %s", whole)
 	}
-	time.AfterFunc(100*time.Millisecond, func() { d.Set(Host{Host: "v2", Dial: "127.0.0.1:9", Health: "Ready"}) })
+	time.AfterFunc(100*time.Millisecond, func() { d.Set(Host{Host: "v2", Dial: "127.0.0.1:9", Health: "Ready"}, nil) })
 	if change := get("?after=2&wait_ms=5000", 3*time.Second); !strings.Contains(change, "v2") || strings.Contains(change, "v1") {
 		t.Errorf("the watch: %s, want v2 alone", change)
 	}
@@ -257,7 +257,7 @@
 		t.Fatal(err)
 	}
 	defer server.Close()
-	disco.Set(host(server, "Ready"))
+	disco.Set(host(server, "Ready"), nil)
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -48,6 +48,12 @@
 	if p.hub, err = open(); err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
+	var owns []*net.UDPConn // free ports for the sidecars, given back once all relays have theirs
+	defer func() {
+		for _, own := range owns {
+			own.Close()
+		}
+	}()
 	for i := range n {
 		relay, err := open()
 		if err != nil {
@@ -55,13 +61,13 @@
 			return nil, fmt.Errorf("peers: %w", err)
 		}
 		p.relays = append(p.relays, relay)
-		own, err := open() // a free port for the sidecar, given back at once
+		own, err := open()
 		if err != nil {
 			p.Close()
 			return nil, fmt.Errorf("peers: %w", err)
 		}
+		owns = append(owns, own)
 		address := own.LocalAddr().(*net.UDPAddr).AddrPort()
-		own.Close()
 		p.listen = append(p.listen, address)
 		p.index[address] = i
 	}
@@ -87,7 +93,26 @@
 func (p *Peers) Known(i int) string { return p.relays[i].LocalAddr().String() }
 
 // Listen is sidecar i's peer_listen, address:port.
-func (p *Peers) Listen(i int) string { return p.listen[i].String() }
+func (p *Peers) Listen(i int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listen[i].String()
+}
+
+// Repick gives sidecar i another peer_listen, for a port taken meanwhile.
+func (p *Peers) Repick(i int) error {
+	own, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return err
+	}
+	own.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.index, p.listen[i])
+	p.listen[i] = own.LocalAddr().(*net.UDPAddr).AddrPort()
+	p.index[p.listen[i]] = i
+	return nil
+}
 
 // serve relays what comes to the hub (to, -1) to all others, and what comes
 // to relay to straight to sidecar to.
@@ -98,8 +123,8 @@
 		if err != nil {
 			return
 		}
-		sender, ok := p.index[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		p.mu.Lock()
+		sender, ok := p.index[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		switch {
 		case !ok:
 			p.strange++
@@ -132,7 +157,10 @@
 	if lose {
 		return
 	}
-	write := func() { p.relays[from].WriteToUDPAddrPort(data, p.listen[to]) }
+	p.mu.Lock()
+	address := p.listen[to]
+	p.mu.Unlock()
+	write := func() { p.relays[from].WriteToUDPAddrPort(data, address) }
 	if delay > 0 {
 		time.AfterFunc(delay, write)
 		return
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -133,6 +133,11 @@
 		listen = l.Addr().String()
 		l.Close()
 	}
+	if newPort && s.peers != nil {
+		if err := s.peers.Repick(i); err != nil {
+			return err
+		}
+	}
 	path := filepath.Join(s.folder, fmt.Sprintf("s%02d.json", i))
 	if err := os.WriteFile(path, s.config(i, listen), 0o600); err != nil {
 		return err
--- a/internal/lab/standin.go
+++ b/internal/lab/standin.go
@@ -56,8 +56,8 @@
 // Close stops the server at once.
 func (s *PinServer) Close() { s.http.Close() }
 
-// SetDrained marks when the server began to drain (zero: it serves again,
-// started anew and cold).
+// SetDrained marks when discovery first told that the server drains (zero:
+// it serves again, started anew and cold).
 func (s *PinServer) SetDrained(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -181,6 +181,7 @@
 	order   []string
 	down    bool
 	lag     time.Duration
+	untold  []func()      // to call when the agent answers again
 	wake    chan struct{} // closed and made anew on every change
 }
 
@@ -203,24 +204,31 @@
 // Close stops the agent at once.
 func (d *Discovery) Close() { d.http.Close() }
 
-// Set puts a host's entry in the list, now or, under lag, a little later.
-func (d *Discovery) Set(h Host) {
+// Set puts a host's entry in the list, now or, under lag, a little later;
+// told, where not nil, is called once the agent can tell it (not while down).
+func (d *Discovery) Set(h Host, told func()) {
 	d.mu.Lock()
 	lag := d.lag
+	var wait time.Duration
+	if lag > 0 {
+		wait = time.Duration(d.random.Int64N(int64(lag)))
+	}
 	d.mu.Unlock()
-	if lag <= 0 {
-		d.apply(h)
+	if wait <= 0 {
+		d.apply(h, told)
 		return
 	}
-	d.mu.Lock()
-	wait := time.Duration(d.random.Int64N(int64(lag)))
-	d.mu.Unlock()
-	time.AfterFunc(wait, func() { d.apply(h) })
+	time.AfterFunc(wait, func() { d.apply(h, told) })
 }
 
-func (d *Discovery) apply(h Host) {
+func (d *Discovery) apply(h Host, told func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if told != nil && d.down {
+		d.untold = append(d.untold, told)
+	} else if told != nil {
+		defer told()
+	}
 	d.seq++
 	if _, ok := d.hosts[h.Host]; !ok {
 		d.order = append(d.order, h.Host)
@@ -235,6 +243,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.down = down
+	if !down {
+		for _, told := range d.untold {
+			defer told()
+		}
+		d.untold = nil
+	}
 	close(d.wake)
 	d.wake = make(chan struct{})
 }
