Test the lab's command line: report draws a result again; bad calls say what is wrong

Need: the report subcommand and the exit codes had no test. The test draws docs/lab/fleet50-result.json again as a PNG and checks that an unknown subcommand, an experiment with fleet.sidecars = 0 and a missing result end with 1 and name what is wrong.

--- /dev/null
+++ b/cmd/bramblelab/main_test.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv("BRAMBLELAB_TEST_RUN") != "" {
+		os.Args = append([]string{"bramblelab"}, strings.Fields(os.Getenv("BRAMBLELAB_TEST_RUN"))...)
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// invoke runs the command with these arguments and gives its exit code and output.
+func invoke(t *testing.T, args ...string) (int, string) {
+	t.Helper()
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), "BRAMBLELAB_TEST_RUN="+strings.Join(args, " "))
+	out, err := c.CombinedOutput()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode(), string(out)
+	}
+	return 0, string(out)
+}
+
+// report reads a recorded result and draws it again; bad calls and bad
+// experiments end with 1 or 2 and say what is wrong.
+func TestReportAndBadCalls(t *testing.T) {
+	plot := filepath.Join(t.TempDir(), "again.png")
+	code, out := invoke(t, "report", "-plot", plot, "../../docs/lab/fleet50-result.json")
+	if code != 0 || !strings.Contains(out, "50 sidecars, 200 servers") {
+		t.Errorf("report: %d, %q", code, out)
+	}
+	if png, err := os.ReadFile(plot); err != nil || !bytes.HasPrefix(png, []byte("\x89PNG")) {
+		t.Errorf("the plot drawn again: %v", err)
+	}
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	os.WriteFile(bad, []byte("duration = \"5s\"\n[fleet]\nsidecars = 0\n"), 0o600)
+	for _, c := range []struct {
+		args []string
+		code int
+		says string
+	}{
+		{[]string{"fly"}, 1, "not a subcommand"},
+		{[]string{"run", bad}, 1, "fleet.sidecars"},
+		{[]string{"report", "nowhere.json"}, 1, "nowhere.json"},
+	} {
+		if code, out := invoke(t, c.args...); code != c.code || !strings.Contains(out, c.says) {
+			t.Errorf("%v: %d, %q; want %d and %q", c.args, code, out, c.code, c.says)
+		}
+	}
+}
