Count each life of a lab sidecar's CPU once, and sample it in Sidecars alone

Cause: sample added a process's whole CPU time at every call, and a term that ends in SIGKILL samples one life twice, so its CPU was counted twice. Run also reached into Sidecars' lock and processes to sample those still running.

Change: a process keeps the CPU of its earlier lives and the last reading of this one, folded together at each start; Cost samples those still running. The dead count of starts goes.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -80,17 +80,6 @@
 	load.Wait()
 	cancel()
 	<-done
-	for i := range exp.Fleet.Sidecars {
-		sidecars.mu.Lock()
-		if p := sidecars.procs[i]; p.cmd != nil {
-			select {
-			case <-p.exited:
-			default:
-				sidecars.sample(p)
-			}
-		}
-		sidecars.mu.Unlock()
-	}
 	result := reckon(exp, ledger, played)
 	result.SidecarCPUSeconds, result.SidecarMeanMB, result.SidecarPeakMB = sidecars.Cost()
 	result.LabCPUSeconds, result.LabPeakMB = selfCost()
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -37,10 +37,10 @@
 	cmd       *exec.Cmd
 	exited    chan struct{}
 	accepting bool
-	down      []window // killed or paused, on the lab's clock
-	cpu       time.Duration
+	down      []window      // killed or paused, on the lab's clock
+	cpuEnded  time.Duration // of the process's earlier lives
+	cpuNow    time.Duration // of this life, when last sampled
 	peakKB    int64
-	starts    int
 }
 
 type window struct{ from, to time.Duration }
@@ -178,7 +178,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p.listen, p.cmd, p.exited, p.accepting = listen, cmd, exited, true
-	p.starts++
+	p.cpuEnded, p.cpuNow = p.cpuEnded+p.cpuNow, 0
 	if n := len(p.down); n > 0 && p.down[n-1].to == stillDown {
 		p.down[n-1].to = s.ledger.Since()
 	}
@@ -246,7 +246,8 @@
 	}
 }
 
-// sample adds what /proc tells of a running process's CPU time and peak memory.
+// sample reads what /proc tells of a running process's CPU time and peak
+// memory; sampling one life twice counts it once.
 func (s *Sidecars) sample(p *proc) {
 	pid := p.cmd.Process.Pid
 	if stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid)); err == nil {
@@ -255,7 +256,7 @@
 			if len(fields) > 12 {
 				user, _ := strconv.ParseInt(fields[11], 10, 64)
 				system, _ := strconv.ParseInt(fields[12], 10, 64)
-				p.cpu += time.Duration(user+system) * 10 * time.Millisecond // clock ticks of 100 Hz
+				p.cpuNow = time.Duration(user+system) * 10 * time.Millisecond // clock ticks of 100 Hz
 			}
 		}
 	}
@@ -298,13 +299,21 @@
 	wg.Wait()
 }
 
-// Cost is what the sidecars took: CPU seconds over all, and the mean and
-// largest peak resident memory of one, in MB.
+// Cost is what the sidecars took, those still running sampled now: CPU
+// seconds over all, and the mean and largest peak resident memory of one, in MB.
 func (s *Sidecars) Cost() (cpu float64, meanMB, peakMB float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.procs {
-		cpu += p.cpu.Seconds()
+		if p.cmd == nil {
+			continue
+		}
+		select {
+		case <-p.exited:
+		default:
+			s.sample(p)
+		}
+		cpu += (p.cpuEnded + p.cpuNow).Seconds()
 		meanMB += float64(p.peakKB) / 1024 / float64(len(s.procs))
 		peakMB = max(peakMB, float64(p.peakKB)/1024)
 	}
