Let one wait serve both ends of a lab sidecar that may not end on SIGTERM

Term and Stop each waited for the end of a process and sent SIGKILL after a grace, in two copies; start and Resume each closed the open window of a process's absence. Each is now one method (endWithin, up). Behaviour is the same: Stop's SIGKILL now also opens a window, which only matters for requests, and there are none left then. The lab's tests pass.

--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -45,6 +45,13 @@
 
 type window struct{ from, to time.Duration }
 
+// up closes the window that is open, if any, at this time.
+func (p *proc) up(at time.Duration) {
+	if n := len(p.down); n > 0 && p.down[n-1].to == stillDown {
+		p.down[n-1].to = at
+	}
+}
+
 // stillDown marks a window that has not ended.
 const stillDown = time.Duration(1<<63 - 1)
 
@@ -179,9 +186,7 @@
 	defer s.mu.Unlock()
 	p.listen, p.cmd, p.exited, p.accepting = listen, cmd, exited, true
 	p.cpuEnded, p.cpuNow = p.cpuEnded+p.cpuNow, 0
-	if n := len(p.down); n > 0 && p.down[n-1].to == stillDown {
-		p.down[n-1].to = s.ledger.Since()
-	}
+	p.up(s.ledger.Since())
 	return nil
 }
 
@@ -221,9 +226,7 @@
 	s.signal(i, syscall.SIGCONT, false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if w := s.procs[i].down; len(w) > 0 && w[len(w)-1].to == stillDown {
-		w[len(w)-1].to = s.ledger.Since()
-	}
+	s.procs[i].up(s.ledger.Since())
 }
 
 // Term makes a planned stop: SIGTERM; the application sends for 0.3 s more;
@@ -237,9 +240,15 @@
 	s.mu.Lock()
 	p.accepting = false
 	s.mu.Unlock()
+	s.endWithin(i, p, max(3*time.Second, s.exp.Load.Deadline.Duration)+400*time.Millisecond)
+}
+
+// endWithin waits for the end of a process sent SIGTERM, and ends it by
+// SIGKILL (its requests then cut) when it has not ended within grace.
+func (s *Sidecars) endWithin(i int, p *proc, grace time.Duration) {
 	select {
 	case <-p.exited:
-	case <-time.After(max(3*time.Second, s.exp.Load.Deadline.Duration) + 400*time.Millisecond):
+	case <-time.After(grace):
 		s.log.Warn("a sidecar did not end on SIGTERM", "sidecar", i)
 		s.signal(i, syscall.SIGKILL, true)
 		<-p.exited
@@ -287,13 +296,7 @@
 			defer wg.Done()
 			s.signal(i, syscall.SIGCONT, false)
 			s.signal(i, syscall.SIGTERM, false)
-			select {
-			case <-p.exited:
-			case <-time.After(5 * time.Second):
-				s.log.Warn("a sidecar did not end on SIGTERM", "sidecar", i)
-				p.cmd.Process.Kill()
-				<-p.exited
-			}
+			s.endWithin(i, p, 5*time.Second)
 		}()
 	}
 	wg.Wait()
