Drop the lab's forwarding proxy that nothing used, and share one wake-up bell

That test now runs the same assertions on an echo server under Faults: silence in a one-way partition, then a reset. Faults' two loops that reset and forget a connection are one method, and Faults and Discovery each closed and remade a channel to wake waiters, in three places; a bell type now does it for both. proxy.go becomes faults.go.

--- a/internal/lab/proxy.go
+++ b/internal/lab/faults.go
@@ -1,12 +1,24 @@
 package lab
 
 import (
-	"fmt"
 	"net"
 	"sync"
 	"time"
 )
 
+// bell tells waiters that something changed: heard gives a channel that the
+// next ring closes. Its owner's lock guards it.
+type bell struct{ ch chan struct{} }
+
+func newBell() bell { return bell{make(chan struct{})} }
+
+func (b *bell) ring() {
+	close(b.ch)
+	b.ch = make(chan struct{})
+}
+
+func (b *bell) heard() <-chan struct{} { return b.ch }
+
 // Faults wraps a listener and makes faults of the network on the
 // connections it accepts, in the lab's own process at one descriptor a
 // connection: a partition (silent, both ways or one way; new connections
@@ -22,12 +34,12 @@
 	resetting bool
 	closed    bool
 	conns     map[*faultConn]struct{}
-	gate      chan struct{} // closed and made anew when the state changes
+	changes   bell
 }
 
 // NewFaults wraps inner; none is on at first.
 func NewFaults(inner net.Listener) *Faults {
-	return &Faults{Listener: inner, conns: map[*faultConn]struct{}{}, gate: make(chan struct{})}
+	return &Faults{Listener: inner, conns: map[*faultConn]struct{}{}, changes: newBell()}
 }
 
 // Listen makes a loopback listener on a port of the system's choice, with faults.
@@ -39,16 +51,18 @@
 	return NewFaults(inner), nil
 }
 
-func (f *Faults) changed() {
-	close(f.gate)
-	f.gate = make(chan struct{})
+// cut resets a connection and forgets it; the lock is held.
+func (f *Faults) cut(c *faultConn) {
+	c.closed = true
+	reset(c.Conn)
+	delete(f.conns, c)
 }
 
 // wait blocks until open says yes (true) or c or the listener is closed (false).
 func (f *Faults) wait(c *faultConn, open func() bool) bool {
 	for {
 		f.mu.Lock()
-		ok, gate, closed := open(), f.gate, f.closed || c.closed
+		ok, changed, closed := open(), f.changes.heard(), f.closed || c.closed
 		f.mu.Unlock()
 		if closed {
 			return false
@@ -56,7 +70,7 @@
 		if ok {
 			return true
 		}
-		<-gate
+		<-changed
 	}
 }
 
@@ -97,7 +111,7 @@
 	for c := range f.conns {
 		c.Conn.Close()
 	}
-	f.changed()
+	f.changes.ring()
 	return err
 }
 
@@ -111,12 +125,10 @@
 		if in || out {
 			c.cutOff = true
 		} else if c.cutOff {
-			c.closed = true
-			reset(c.Conn)
-			delete(f.conns, c)
+			f.cut(c)
 		}
 	}
-	f.changed()
+	f.changes.ring()
 }
 
 // Delay makes every chunk wait this long each way (0: none).
@@ -124,7 +136,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.delay = d
-	f.changed()
+	f.changes.ring()
 }
 
 // Reset resets every open connection, and while on, every new one.
@@ -134,12 +146,10 @@
 	f.resetting = on
 	if on {
 		for c := range f.conns {
-			c.closed = true
-			reset(c.Conn)
-			delete(f.conns, c)
+			f.cut(c)
 		}
 	}
-	f.changed()
+	f.changes.ring()
 }
 
 func reset(c net.Conn) {
@@ -194,71 +204,7 @@
 	c.faults.mu.Lock()
 	c.closed = true
 	delete(c.faults.conns, c)
-	c.faults.changed()
+	c.faults.changes.ring()
 	c.faults.mu.Unlock()
 	return c.Conn.Close()
 }
-
-// Proxy forwards loopback connections to a target through Faults, for a
-// target that is not the lab's own (two descriptors a connection).
-type Proxy struct {
-	*Faults
-	target string
-}
-
-// NewProxy listens on a loopback port of the system's choice and forwards to target.
-func NewProxy(target string) (*Proxy, error) {
-	faults, err := Listen()
-	if err != nil {
-		return nil, fmt.Errorf("proxy to %s: %w", target, err)
-	}
-	p := &Proxy{Faults: faults, target: target}
-	go func() {
-		for {
-			conn, err := faults.Accept()
-			if err != nil {
-				return
-			}
-			go p.forward(conn)
-		}
-	}()
-	return p, nil
-}
-
-// Address is where to dial, host:port.
-func (p *Proxy) Address() string { return p.Addr().String() }
-
-var buffers = sync.Pool{New: func() any { return new([16 << 10]byte) }}
-
-func (p *Proxy) forward(client net.Conn) {
-	defer client.Close()
-	server, err := net.DialTimeout("tcp", p.target, 2*time.Second)
-	if err != nil {
-		reset(client)
-		return
-	}
-	defer server.Close()
-	done := make(chan struct{}, 2)
-	copyThrough := func(dst, src net.Conn) {
-		buffer := buffers.Get().(*[16 << 10]byte)
-		defer buffers.Put(buffer)
-		for {
-			n, err := src.Read(buffer[:])
-			if n > 0 {
-				if _, werr := dst.Write(buffer[:n]); werr != nil {
-					break
-				}
-			}
-			if err != nil {
-				break
-			}
-		}
-		if tcp, ok := dst.(*net.TCPConn); ok {
-			tcp.CloseWrite()
-		}
-		done <- struct{}{}
-	}
-	go copyThrough(server, client)
-	go copyThrough(client, server)
-	<-done
-}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// Run carries out an experiment: stand-ins, proxies and sidecars up, the load
+// Run carries out an experiment: stand-ins and sidecars up, the load
 // and the schedule played, everything ended, and the result reckoned. The
 // folder receives the sidecars' configurations and logs. Run leaves no
 // process behind, also when ctx ends early.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -161,27 +161,22 @@
 }
 
 // A partition one way is silent; on its end, connections that lived through it are reset.
-func TestProxyPartitionIsSilentThenResets(t *testing.T) {
-	echo, err := net.Listen("tcp", "127.0.0.1:0")
+func TestPartitionIsSilentThenResets(t *testing.T) {
+	p, err := Listen() // an echo server's, under faults
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer echo.Close()
+	defer p.Close()
 	go func() {
 		for {
-			c, err := echo.Accept()
+			c, err := p.Accept()
 			if err != nil {
 				return
 			}
 			go io.Copy(c, c)
 		}
 	}()
-	p, err := NewProxy(echo.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer p.Close()
-	conn, err := net.Dial("tcp", p.Address())
+	conn, err := net.Dial("tcp", p.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -50,7 +50,7 @@
 	SidecarCPUSeconds float64 `json:"sidecar_cpu_s"`   // over all sidecars
 	SidecarMeanMB     float64 `json:"sidecar_mean_mb"` // peak resident memory of one, mean
 	SidecarPeakMB     float64 `json:"sidecar_peak_mb"` // peak resident memory of one, largest
-	LabCPUSeconds     float64 `json:"lab_cpu_s"`       // the lab itself: stand-ins, proxies, load
+	LabCPUSeconds     float64 `json:"lab_cpu_s"`       // the lab itself: stand-ins, faults, load
 	LabPeakMB         float64 `json:"lab_peak_mb"`
 }
 
--- a/internal/lab/standin.go
+++ b/internal/lab/standin.go
@@ -181,8 +181,8 @@
 	order   []string
 	down    bool
 	lag     time.Duration
-	untold  []func()      // to call when the agent answers again
-	wake    chan struct{} // closed and made anew on every change
+	untold  []func() // to call when the agent answers again
+	wake    bell     // rung on every change
 }
 
 // NewDiscovery listens on a loopback port of the system's choice.
@@ -192,7 +192,7 @@
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	d := &Discovery{listener: listener, random: rand.New(rand.NewPCG(seed, 0xd15c)),
-		hosts: map[string]Host{}, changed: map[string]int64{}, wake: make(chan struct{}), seq: 1}
+		hosts: map[string]Host{}, changed: map[string]int64{}, wake: newBell(), seq: 1}
 	d.http = &http.Server{Handler: d, ReadHeaderTimeout: 5 * time.Second}
 	go d.http.Serve(listener)
 	return d, nil
@@ -234,8 +234,7 @@
 		d.order = append(d.order, h.Host)
 	}
 	d.hosts[h.Host], d.changed[h.Host] = h, d.seq
-	close(d.wake)
-	d.wake = make(chan struct{})
+	d.wake.ring()
 }
 
 // SetDown makes the agent silent, or lets it answer again.
@@ -249,8 +248,7 @@
 		}
 		d.untold = nil
 	}
-	close(d.wake)
-	d.wake = make(chan struct{})
+	d.wake.ring()
 }
 
 // SetLag holds each later change for up to this long (0: none).
@@ -272,7 +270,7 @@
 	defer cancel()
 	for {
 		d.mu.Lock()
-		down, seq, wake := d.down, d.seq, d.wake
+		down, seq, wake := d.down, d.seq, d.wake.heard()
 		d.mu.Unlock()
 		if !down && (seq > after || ctx.Err() != nil) {
 			break
