Build a lab request once, and give partitions and isolations one mapping of ways

The client built a request, then built it again when it had a body, and read the lab's clock twice for the same send; the ledger now gives the time it records. Partition and isolate each turned a direction into (in, out) and a heal into none, written twice; Event.ways does it. A delay's heal no longer hides in a map literal. Discovery's answer tested for an absent after twice and nested its choice of entries. The plot measured the height of every line once for each fault's mark; now once for all. The lab's and the command's tests pass.

--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -218,6 +218,15 @@
 	Heal  bool          `json:"heal"`
 }
 
+// ways tells which ways a partition or an isolation holds, toward its
+// target (in) and from it (out); none once healed.
+func (ev Event) ways() (in, out bool) {
+	if ev.Heal {
+		return false, false
+	}
+	return ev.Fault.Direction != "out", ev.Fault.Direction != "in"
+}
+
 // Label is a short name for plots and logs, as "kill s2" or "heal partition v0,v1".
 func (ev Event) Label() string {
 	var names []string
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -138,7 +138,8 @@
 	for _, i := range f.Sidecars {
 		switch {
 		case f.Kind == "isolate":
-			w.peers.Isolate(i, !ev.Heal && f.Direction != "out", !ev.Heal && f.Direction != "in")
+			in, out := ev.ways()
+			w.peers.Isolate(i, in, out)
 		case f.Kind == "kill" && !ev.Heal:
 			w.sidecars.Kill(i)
 		case f.Kind == "pause" && !ev.Heal:
@@ -158,13 +159,13 @@
 		p := s.Faults
 		switch f.Kind {
 		case "partition":
-			in, out := f.Direction != "out", f.Direction != "in"
+			p.Partition(ev.ways())
+		case "delay":
+			delay := f.Delay.Duration
 			if ev.Heal {
-				in, out = false, false
+				delay = 0
 			}
-			p.Partition(in, out)
-		case "delay":
-			p.Delay(map[bool]time.Duration{false: f.Delay.Duration}[ev.Heal])
+			p.Delay(delay)
 		case "reset":
 			p.Reset(!ev.Heal)
 		case "drain":
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -57,10 +57,13 @@
 // Since is the lab's clock: the time since the ledger began.
 func (l *Ledger) Since() time.Duration { return time.Since(l.start) }
 
-func (l *Ledger) open(id string, sidecar int, order bool) {
+// open records a request as sent now, and gives the time.
+func (l *Ledger) open(id string, sidecar int, order bool) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.records[id] = &record{sidecar: sidecar, order: order, sent: l.Since(), outcome: Unfinished}
+	sent := l.Since()
+	l.records[id] = &record{sidecar: sidecar, order: order, sent: sent, outcome: Unfinished}
+	return sent
 }
 
 func (l *Ledger) close(id string, outcome Outcome) {
@@ -144,22 +147,17 @@
 
 func (c *client) send(id string, order bool) {
 	deadline := c.exp.Load.Deadline.Duration
-	method, class, body := http.MethodGet, "read", ""
+	method, class, body := http.MethodGet, "read", io.Reader(http.NoBody)
 	if order {
-		method, class, body = http.MethodPost, "order", "order "+id
+		method, class, body = http.MethodPost, "order", strings.NewReader("order "+id)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+time.Second)
 	defer cancel()
-	r, _ := http.NewRequestWithContext(ctx, method, "http://"+c.sidecars.Listen(c.index)+"/"+class+"/"+id, nil)
-	if body != "" {
-		r, _ = http.NewRequestWithContext(ctx, method, r.URL.String(), strings.NewReader(body))
-		r.ContentLength = int64(len(body))
-	}
+	r, _ := http.NewRequestWithContext(ctx, method, "http://"+c.sidecars.Listen(c.index)+"/"+class+"/"+id, body)
 	r.Header.Set("X-Correlation-Id", id)
 	r.Header.Set("X-Service-Class", class)
 	r.Header.Set("X-Time-Left-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
-	c.ledger.open(id, c.index, order)
-	sent := c.ledger.Since()
+	sent := c.ledger.open(id, c.index, order)
 	response, err := c.http.Do(r)
 	if err != nil {
 		c.ledger.close(id, c.failure(err, sent))
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -219,22 +219,17 @@
 		p.Legend.Top = true
 		p.Add(plotter.NewGrid())
 	}
+	// A fault's mark spans each plot from its floor to the highest of its lines.
+	spans := map[*plot.Plot][2]float64{top: {0, 1}, bottom: {0.1, 1}}
+	for _, s := range r.Series {
+		spans[top] = [2]float64{0, max(spans[top][1], float64(max(s.Served, s.Errors)))}
+		spans[bottom] = [2]float64{0.1, max(spans[bottom][1], s.Latency.P999)}
+	}
 	var labels plotter.XYLabels
 	for _, m := range r.Faults {
 		x := m.AtMs / 1000
 		for _, p := range []*plot.Plot{top, bottom} {
-			ymin, ymax := 0.0, 1.0
-			if p == bottom {
-				ymin = 0.1
-			}
-			for _, s := range r.Series {
-				if p == top {
-					ymax = max(ymax, float64(max(s.Served, s.Errors)))
-				} else {
-					ymax = max(ymax, s.Latency.P999)
-				}
-			}
-			mark, err := plotter.NewLine(plotter.XYs{{X: x, Y: ymin}, {X: x, Y: ymax}})
+			mark, err := plotter.NewLine(plotter.XYs{{X: x, Y: spans[p][0]}, {X: x, Y: spans[p][1]}})
 			if err != nil {
 				return err
 			}
--- a/internal/lab/standin.go
+++ b/internal/lab/standin.go
@@ -285,9 +285,9 @@
 		}
 	}
 	d.mu.Lock()
-	answer := registryAnswer{Seq: d.seq, Whole: after == 0 || r.FormValue("after") == ""}
+	answer := registryAnswer{Seq: d.seq, Whole: after == 0} // no after, or after=0
 	for _, name := range d.order {
-		if whole := answer.Whole && d.hosts[name].Health != "Gone"; whole || !answer.Whole && d.changed[name] > after {
+		if answer.Whole && d.hosts[name].Health != "Gone" || !answer.Whole && d.changed[name] > after {
 			answer.Hosts = append(answer.Hosts, d.hosts[name])
 		}
 	}
