Share the sidecar tests' wait for a good end and their endpoint that reads one body

Two tests waited for the sidecar's end and checked its error in the same eight lines, and two built the same endpoint that reads one request and tells whether its body came whole. world.endedWell and readsWhole now serve them.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -586,14 +586,7 @@
 	if got := <-held; got.code != http.StatusOK || got.body != "done" {
 		t.Errorf("the request in hand: %+v", got)
 	}
-	select {
-	case err := <-w.ended:
-		if err != nil {
-			t.Errorf("the sidecar ended with %v", err)
-		}
-	case <-time.After(patience):
-		t.Error("the sidecar does not end")
-	}
+	w.endedWell()
 }
 
 // A request that comes whole only after the end has begun is turned away, not cut off: SIGKILL may find it unanswered.
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -260,12 +260,7 @@
 func TestClientBreaksOffAmidABody(t *testing.T) {
 	t.Parallel()
 	whole := make(chan bool, 2)
-	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		if r, err := http.ReadRequest(in); err == nil {
-			_, err = io.Copy(io.Discard, r.Body)
-			whole <- err == nil
-		}
-	})
+	e := newEndpoint(t, readsWhole(whole))
 	w := start(t, nil, ready("s-1", e.address))
 	for name, stops := range map[string]bool{"breaks off": false, "stops": true} {
 		conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
@@ -348,12 +343,7 @@
 // A body that is too long is refused by its length alone; one that turns out so in chunks is cut off.
 func TestBodyTooLong(t *testing.T) {
 	whole := make(chan bool, 1)
-	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		if r, err := http.ReadRequest(in); err == nil {
-			_, err = io.Copy(io.Discard, r.Body)
-			whole <- err == nil
-		}
-	})
+	e := newEndpoint(t, readsWhole(whole))
 	w := start(t, nil, ready("s-1", e.address))
 	for name, framing := range map[string]string{
 		"with a length": fmt.Sprintf("Content-Length: %d\r\n\r\n", requestMost+1),
@@ -426,14 +416,7 @@
 	if got, want := sum(t, response.Body), sum(t, &pattern{end: long}); got != want {
 		t.Errorf("the client got %s, want %s", got, want)
 	}
-	select {
-	case err := <-w.ended:
-		if err != nil {
-			t.Errorf("the sidecar ended with %v", err)
-		}
-	case <-time.After(patience):
-		t.Error("the sidecar does not end")
-	}
+	w.endedWell()
 }
 
 // A long request that is refused at once: the client gets the answer though it first writes all of its body.
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -352,6 +352,29 @@
 	await(w.t, what, is)
 }
 
+// endedWell waits for the sidecar's end and checks that it ended well.
+func (w *world) endedWell() {
+	w.t.Helper()
+	select {
+	case err := <-w.ended:
+		if err != nil {
+			w.t.Errorf("the sidecar ended with %v", err)
+		}
+	case <-time.After(patience):
+		w.t.Error("the sidecar does not end")
+	}
+}
+
+// readsWhole is an endpoint that reads one request and tells whether its body came whole.
+func readsWhole(whole chan<- bool) func(*endpoint, net.Conn, *bufio.Reader) {
+	return func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		if r, err := http.ReadRequest(in); err == nil {
+			_, err = io.Copy(io.Discard, r.Body)
+			whole <- err == nil
+		}
+	}
+}
+
 func await(t *testing.T, what string, is func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); !is(); time.Sleep(2 * time.Millisecond) {
