--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -59,6 +59,7 @@
 	flags := flag.NewFlagSet("run", flag.ContinueOnError)
 	out := flags.String("out", "lab-out", "folder for the result, the plot and the logs")
 	program := flags.String("sidecar", "", "the sidecar's program; overrides the experiment's")
+	keep := flags.String("state", "", `"on" or "off": whether sidecars keep state; overrides the experiment's fleet.state`)
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
@@ -76,6 +77,13 @@
 	if *program != "" {
 		exp.Sidecar = *program
 	}
+	switch *keep {
+	case "":
+	case "on", "off":
+		exp.Fleet.State = *keep == "on"
+	default:
+		return fmt.Errorf("-state: %q is neither on nor off", *keep)
+	}
 	logs := filepath.Join(*out, "logs")
 	if err := os.MkdirAll(logs, 0o755); err != nil {
 		return err
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -36,6 +36,7 @@
 	Servers  int      `toml:"servers"`  // 1 to 1000
 	Zones    []string `toml:"zones"`    // servers and sidecars are dealt to them in turn
 	Peers    bool     `toml:"peers"`    // sidecars share probes' answers by datagram, through the lab
+	State    bool     `toml:"state"`    // sidecars keep state in a folder of the run's that outlives their crashes
 }
 
 // Server is how every stand-in pin server behaves.
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -80,7 +80,10 @@
 	load.Wait()
 	cancel()
 	<-done
-	result := reckon(exp, ledger, played)
+	sidecars.mu.Lock()
+	restarts := slices.Clone(sidecars.restarts)
+	sidecars.mu.Unlock()
+	result := reckon(exp, ledger, played, restarts)
 	result.SidecarCPUSeconds, result.SidecarMeanMB, result.SidecarPeakMB = sidecars.Cost()
 	result.LabCPUSeconds, result.LabPeakMB = selfCost()
 	if peers != nil {
@@ -135,6 +138,8 @@
 
 func (w *world) act(ev Event) {
 	f := ev.Fault
+	var starting sync.WaitGroup // starts again run side by side: each waits for its own yes
+	defer starting.Wait()
 	for _, i := range f.Sidecars {
 		switch {
 		case f.Kind == "isolate":
@@ -149,9 +154,13 @@
 		case f.Kind == "term" && !ev.Heal:
 			w.sidecars.Term(i)
 		default: // a kill or a term heals by a start
-			if err := w.sidecars.Start(i); err != nil {
-				w.log.Error("a sidecar did not start again", "sidecar", i, "error", err)
-			}
+			starting.Add(1)
+			go func() {
+				defer starting.Done()
+				if err := w.sidecars.Start(i); err != nil {
+					w.log.Error("a sidecar did not start again", "sidecar", i, "error", err)
+				}
+			}()
 		}
 	}
 	for _, i := range f.Servers {
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -45,13 +45,21 @@
 	mu         sync.Mutex
 	start      time.Time
 	records    map[string]*record
-	strange    []string // ids that no client sent, as server:id
-	afterDrain []string // requests that reached a server over 1.5 s into its drain, as server:id
+	strange    []string                // ids that no client sent, as server:id
+	afterDrain []string                // requests that reached a server over 1.5 s into its drain, as server:id
+	missed     map[int][]time.Duration // by sidecar, when a request was not sent as it was not up
+}
+
+// miss records a request that was not sent now, as the sidecar was not up.
+func (l *Ledger) miss(sidecar int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.missed[sidecar] = append(l.missed[sidecar], l.Since())
 }
 
 // NewLedger starts the lab's clock.
 func NewLedger() *Ledger {
-	return &Ledger{start: time.Now(), records: map[string]*record{}}
+	return &Ledger{start: time.Now(), records: map[string]*record{}, missed: map[int][]time.Duration{}}
 }
 
 // Since is the lab's clock: the time since the ledger began.
@@ -134,7 +142,8 @@
 		id := fmt.Sprintf("%02x%06x%08x", c.index, i, uint32(c.exp.Seed))
 		order := float64(i%1000)/1000 < c.exp.Load.OrderShare
 		if !c.sidecars.Accepting(c.index) {
-			continue // the application stops and starts with its sidecar
+			c.ledger.miss(c.index) // the application stops and starts with its sidecar: this one waits for it
+			continue
 		}
 		wg.Add(1)
 		go func() {
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -28,8 +28,9 @@
 	ledger  *Ledger
 	log     *slog.Logger
 
-	mu    sync.Mutex
-	procs []*proc
+	mu       sync.Mutex
+	procs    []*proc
+	restarts []Restart
 }
 
 type proc struct {
@@ -102,7 +103,7 @@
 		peers, tell = fmt.Sprintf(`"peer_listen":%q,"peers_all":%q,"peers":%s,`, s.peers.Listen(i), s.peers.Hub(), list), true
 	}
 	return fmt.Appendf(nil, `{"name":"s%d","listen":%q,"discovery":%q,"seed":"%x",%s
-"limits":{"memory_mb":192,"sockets":1024},"known":{"seq":0,"whole":true,"hosts":[]},
+"limits":{"memory_mb":192,"sockets":1024},%s"known":{"seq":0,"whole":true,"hosts":[]},
 "settings":{"areas":%s,"skus":["m"],"stages":["s"],"tenants":[],"discovery":"subscribe",
 "classes":[{"name":"read","repeat":"pure","target":%d,"give-up":%d,"credit":1},
  {"name":"order","repeat":"side_effect","target":%d,"give-up":%d,"credit":1}],
@@ -110,10 +111,18 @@
 "limits":{"may-tell":%t,"cancel":true,"dial-timeout":250000,"keepalive":5000000,"max-retry-after":1500000,"most-held":1000,"most-tries":3,"multiplex":1,"probes":true,"retry-after":true,"second-copies":true},
 "prices":{"probe":1,"peer":0.01},
 "reporting":{"how":"probe","fields":["failed_ps","pending"]},"peers-total":%d,"position":%d,"zone":%d}}`,
-		i, listen, s.disco, s.exp.Seed*1000+uint64(i), peers, zones, deadline*6/10, deadline, deadline*6/10, deadline, tell,
+		i, listen, s.disco, s.exp.Seed*1000+uint64(i), peers, s.stateDir(), zones, deadline*6/10, deadline, deadline*6/10, deadline, tell,
 		s.exp.Fleet.Sidecars, i, i%len(s.exp.Fleet.Zones))
 }
 
+// stateDir is the configuration's key for the folder of kept state, where the experiment keeps it.
+func (s *Sidecars) stateDir() string {
+	if !s.exp.Fleet.State {
+		return ""
+	}
+	return fmt.Sprintf(`"state_dir":%q,`, filepath.Join(s.folder, "state"))
+}
+
 // Start starts sidecar i and waits for its yes at /health/ready. A port that
 // is taken meanwhile is tried anew, three times at most.
 func (s *Sidecars) Start(i int) error {
@@ -158,6 +167,7 @@
 	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_LOG=json", "BALANCER_OPS=")
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	began := s.ledger.Since()
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -184,6 +194,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if p.cmd != nil { // a start again, after a crash or a planned end
+		s.restarts = append(s.restarts, Restart{Sidecar: i, At: began.Seconds(), ReadyMs: ms(s.ledger.Since() - began)})
+	}
 	p.listen, p.cmd, p.exited, p.accepting = listen, cmd, exited, true
 	p.cpuEnded, p.cpuNow = p.cpuEnded+p.cpuNow, 0
 	p.up(s.ledger.Since())
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -47,6 +47,8 @@
 		Strange  int `json:"strange"`
 	} `json:"datagrams"`
 
+	Restarts []Restart `json:"restarts"` // of sidecars started again after a kill or a term
+
 	SidecarCPUSeconds float64 `json:"sidecar_cpu_s"`   // over all sidecars
 	SidecarMeanMB     float64 `json:"sidecar_mean_mb"` // peak resident memory of one, mean
 	SidecarPeakMB     float64 `json:"sidecar_peak_mb"` // peak resident memory of one, largest
@@ -76,6 +78,90 @@
 	return r.Outcomes[Lost] + r.Outcomes[Forged] + r.Outcomes[Unfinished] + r.RanTwice + r.AfterDrain + r.Strange + r.Datagrams.Oversize
 }
 
+// Restart is what one start again of a sidecar went through: the seconds from
+// the load's start to its exec, the milliseconds from the exec to its yes at
+// /health/ready, to the first answer it served to a request sent after the
+// exec (-1 for none), and until its requests were served as well as a steady
+// sidecar's (99% of at least 5 sent in one second; -1 for never). Then its
+// requests sent in the 5 s after the exec that were refused, failed (failed
+// or late), unreached (it did not take them: it was not up) and lost; and
+// those its application did not send between the exec and the yes, as the
+// sidecar was not ready (Waited).
+type Restart struct {
+	Sidecar       int     `json:"sidecar"`
+	At            float64 `json:"at_s"`
+	ReadyMs       float64 `json:"ready_ms"`
+	FirstServedMs float64 `json:"first_served_ms"`
+	SettledMs     float64 `json:"settled_ms"`
+	Refused       int     `json:"refused"`
+	Failed        int     `json:"failed"`
+	Unreached     int     `json:"unreached"`
+	Lost          int     `json:"lost"`
+	Waited        int     `json:"waited"`
+}
+
+const (
+	restartSpan  = 5 * time.Second // after the exec, whose errors a restart is charged with
+	settleWindow = time.Second
+	settleStep   = 50 * time.Millisecond
+)
+
+// restarted reckons a restart from the records of its sidecar. It holds l.mu.
+func (l *Ledger) restarted(r Restart) Restart {
+	began := time.Duration(r.At * float64(time.Second))
+	r.FirstServedMs, r.SettledMs = -1, -1
+	var mine []*record
+	for _, rec := range l.records {
+		if rec.sidecar == r.Sidecar && rec.sent >= began {
+			mine = append(mine, rec)
+		}
+	}
+	slices.SortFunc(mine, func(a, b *record) int { return int(a.sent - b.sent) })
+	for _, at := range l.missed[r.Sidecar] {
+		r.Waited += int(share(at >= began && at < began+time.Duration(r.ReadyMs*float64(time.Millisecond))))
+	}
+	for _, rec := range mine {
+		if rec.outcome == Served && (r.FirstServedMs < 0 || ms(rec.sent+rec.took-began) < r.FirstServedMs) {
+			r.FirstServedMs = ms(rec.sent + rec.took - began)
+		}
+		if rec.sent < began+restartSpan {
+			switch rec.outcome {
+			case Refused:
+				r.Refused++
+			case Failed, Late:
+				r.Failed++
+			case Unreached, Cut:
+				r.Unreached++
+			case Lost:
+				r.Lost++
+			}
+		}
+	}
+	for from := began; from < began+4*restartSpan && r.SettledMs < 0; from += settleStep {
+		sent, served := 0, 0
+		for _, rec := range mine {
+			if rec.sent >= from && rec.sent < from+settleWindow {
+				sent++
+				served += int(share(rec.outcome == Served))
+			}
+		}
+		if sent >= 5 && float64(served) >= 0.99*float64(sent) {
+			r.SettledMs = ms(from - began)
+		}
+	}
+	return r
+}
+
+func share(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+// ms is a duration in milliseconds.
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 120_000_000, 3) } // µs
 
 func percentiles(h *hdrhistogram.Histogram) Percentiles {
@@ -83,7 +169,7 @@
 	return Percentiles{P50: ms(50), P99: ms(99), P999: ms(99.9), Max: float64(h.Max()) / 1000}
 }
 
-func reckon(exp *Experiment, l *Ledger, marks []Mark) *Result {
+func reckon(exp *Experiment, l *Ledger, marks []Mark, restarts []Restart) *Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := &Result{Name: exp.Name, Seed: exp.Seed, Sidecars: exp.Fleet.Sidecars, Servers: exp.Fleet.Servers,
@@ -135,6 +221,9 @@
 		r.Examples["after_drain"] = l.afterDrain[:min(len(l.afterDrain), 10)]
 	}
 	r.Latency = percentiles(all)
+	for _, restart := range restarts {
+		r.Restarts = append(r.Restarts, l.restarted(restart))
+	}
 	for at, s := range series {
 		s.Latency = percentiles(seconds[at])
 		r.Series = append(r.Series, *s)
@@ -177,7 +266,31 @@
 	return fmt.Sprintf("%s: %d sidecars, %d servers, %d requests\noutcomes %v\nran twice %d, copies %d, after drain %d, strange %d; datagrams %+v; breaches %d\n"+
 		"latency ms p50 %.1f p99 %.1f p99.9 %.1f max %.1f\nsidecars: %.1f CPU s, %.1f MB mean peak, %.1f MB largest; lab: %.1f CPU s, %.1f MB\n",
 		r.Name, r.Sidecars, r.Servers, r.Requests, r.Outcomes, r.RanTwice, r.Copies, r.AfterDrain, r.Strange, r.Datagrams, r.Breaches(),
-		r.Latency.P50, r.Latency.P99, r.Latency.P999, r.Latency.Max, r.SidecarCPUSeconds, r.SidecarMeanMB, r.SidecarPeakMB, r.LabCPUSeconds, r.LabPeakMB)
+		r.Latency.P50, r.Latency.P99, r.Latency.P999, r.Latency.Max, r.SidecarCPUSeconds, r.SidecarMeanMB, r.SidecarPeakMB, r.LabCPUSeconds, r.LabPeakMB) +
+		r.restartSummary()
+}
+
+// restartSummary is a line on the restarts, if any: the median and the worst of each time, the errors summed.
+func (r *Result) restartSummary() string {
+	if len(r.Restarts) == 0 {
+		return ""
+	}
+	var ready, first, settled []float64
+	var sum Restart
+	for _, s := range r.Restarts {
+		ready, first, settled = append(ready, s.ReadyMs), append(first, s.FirstServedMs), append(settled, s.SettledMs)
+		sum.Refused, sum.Failed, sum.Unreached, sum.Lost = sum.Refused+s.Refused, sum.Failed+s.Failed, sum.Unreached+s.Unreached, sum.Lost+s.Lost
+		sum.Waited += s.Waited
+	}
+	spread := func(v []float64) string {
+		slices.Sort(v)
+		if median := v[len(v)/2]; v[0] < 0 {
+			return fmt.Sprintf("median %.0f, %d never", median, len(slices.DeleteFunc(v, func(x float64) bool { return x >= 0 })))
+		}
+		return fmt.Sprintf("median %.0f, worst %.0f", v[len(v)/2], v[len(v)-1])
+	}
+	return fmt.Sprintf("restarts %d: ms to ready %s; to first served %s; to settled %s; in their first 5 s refused %d, failed %d, unreached %d, lost %d; not sent until ready %d\n",
+		len(r.Restarts), spread(ready), spread(first), spread(settled), sum.Refused, sum.Failed, sum.Unreached, sum.Lost, sum.Waited)
 }
 
 // Plot draws throughput and errors (above) and p50, p99 and p99.9 (below)
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -25,7 +25,9 @@
 	Name      string
 	Listen    string
 	Discovery string
-	Ops       string // where operators call; empty where nobody does
+	Ops       string        // where operators call; empty where nobody does
+	StateDir  string        // where state is kept over a crash; empty for none (the platform gives no lasting disk)
+	StateAge  time.Duration // the oldest kept list that is served from at a start
 	Seed      uint64
 	Limits    Limits
 	Settings  balancer.Settings
@@ -75,6 +77,8 @@
 		PeerListen string          `json:"peer_listen"`
 		Peers      []string        `json:"peers"`
 		PeersAll   string          `json:"peers_all"`
+		StateDir   string          `json:"state_dir"`
+		StateAgeS  *float64        `json:"state_max_age_s"`
 		Settings   json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(data, &file); err != nil {
@@ -102,7 +106,15 @@
 	if err := file.Known.validate(); err != nil {
 		return nil, fmt.Errorf("known: %w", err)
 	}
+	age := stateAge
+	if file.StateAgeS != nil {
+		if *file.StateAgeS <= 0 || *file.StateAgeS > 7*24*3600 {
+			return nil, fmt.Errorf("state_max_age_s: %v is not in (0, 604800]", *file.StateAgeS)
+		}
+		age = time.Duration(*file.StateAgeS * float64(time.Second))
+	}
 	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Ops: ops,
+		StateDir: cmp.Or(os.Getenv("BALANCER_STATE"), file.StateDir), StateAge: age,
 		Seed: seed, Limits: file.Limits, known: file.Known}
 	if cfg.peerListen, err = peerAddress("peer_listen", file.PeerListen); err != nil {
 		return nil, err
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"peatpost/balancer"
+	"peatpost/internal/state"
 )
 
 const (
@@ -46,23 +47,29 @@
 	Share(processes int)
 	Ban(now balancer.Micros, id uint32)
 	Unban(now balancer.Micros, id uint32)
+	Keep(now balancer.Micros) []balancer.Kept
+	Recall(now balancer.Micros, kept []balancer.Kept)
 }
 
 // loop owns the balancer: one goroutine passes it every event and carries out
 // its Actions. It never waits for the network; what it starts reports back
 // through events.
 type loop struct {
-	cfg    *Config
-	log    *slog.Logger
-	clock  clock
-	up     *upstream
-	disc   *discovery
-	events chan func(now balancer.Micros)
-	urgent chan func(now balancer.Micros) // operators' calls, ahead of events
-	ctx    context.Context                // ends with the loop
-	listed atomic.Bool                    // endpoints are known
-	told   chan struct{}                  // closed once discovery has answered
-	peers  *peers                         // nil where there are none to talk to
+	cfg      *Config
+	log      *slog.Logger
+	clock    clock
+	up       *upstream
+	disc     *discovery
+	events   chan func(now balancer.Micros)
+	urgent   chan func(now balancer.Micros) // operators' calls, ahead of events
+	ctx      context.Context                // ends with the loop
+	listed   atomic.Bool                    // endpoints are known
+	told     chan struct{}                  // closed once discovery has answered
+	peers    *peers                         // nil where there are none to talk to
+	keeper   *keeper                        // nil where no state is kept
+	kept     *state.Snapshot                // what an earlier process kept, until the start
+	drained  func() bool                    // the sidecar sends its clients away
+	listedAt time.Time                      // wall clock when discovery last told the list
 
 	// Below: the loop's goroutine alone.
 	balancer  decider
@@ -115,7 +122,7 @@
 		urgent:   make(chan func(balancer.Micros), opsMost),
 		listings: map[uint32]listing{}, banned: map[uint32]bool{},
 		requests: map[uint64]*request{}, ids: map[string]uint32{}, names: map[uint32]string{}, targets: map[uint32]*target{},
-		stopWatch: func() {},
+		stopWatch: func() {}, drained: func() bool { return false },
 	}
 	var err error
 	l.balancer, err = balancer.New(cfg.Settings, cfg.Seed, l)
@@ -126,14 +133,20 @@
 func (l *loop) run() {
 	now := l.clock.now()
 	l.balancer.Start(now)
-	if len(l.cfg.known.Hosts) > 0 {
-		l.members(now, balancer.ListCached, l.cfg.known)
+	if list := l.recall(now, l.kept); len(list.Hosts) > 0 {
+		l.members(now, balancer.ListCached, list)
 	}
+	l.recallBaselines(now, l.kept)
+	l.kept = nil
 	if !l.cfg.Settings.Subscribe {
 		l.Watch(true)
 	}
 	prune := time.NewTicker(pruneEvery)
 	defer prune.Stop()
+	var keepAt <-chan time.Time // never where no state is kept
+	if l.keeper != nil {
+		keepAt = time.After(keepEvery)
+	}
 	for {
 		select {
 		case event := <-l.urgent:
@@ -148,6 +161,14 @@
 			event(l.clock.now())
 		case <-prune.C:
 			l.up.prune()
+		case <-keepAt:
+			l.keep(l.clock.now())
+			took := time.Duration(0)
+			select {
+			case took = <-l.keeper.took:
+			default:
+			}
+			keepAt = time.After(keepCadence(took))
 		case <-l.ctx.Done():
 			return
 		}
@@ -296,6 +317,9 @@
 		}
 	}
 	l.listed.Store(len(l.targets) > 0)
+	if kind != balancer.ListCached {
+		l.listedAt = time.Now().UTC()
+	}
 	if kind != balancer.ListCached && !l.answered {
 		l.answered = true
 		close(l.told)
@@ -346,6 +370,7 @@
 			l.reaim(id)
 			l.balancer.Ban(now, id)
 			l.log.Info("banned", "host", name, "endpoint", id)
+			defer l.keep(now) // a ban must outlive a crash: kept at once
 		}
 	}
 	for id := range l.banned {
@@ -353,6 +378,7 @@
 			delete(l.banned, id)
 			l.reaim(id)
 			l.balancer.Unban(now, id)
+			defer l.keep(now)
 			l.log.Info("ban ended", "host", l.names[id], "endpoint", id)
 		}
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -78,6 +78,10 @@
 		return err
 	}
 	s := newServer(l)
+	l.kept, l.drained = recallState(cfg, log), s.drained.Load
+	if cfg.StateDir != "" {
+		l.keeper = newKeeper(cfg.StateDir, log)
+	}
 	paired := false
 	if cfg.Ops != "" {
 		calls, err := listenToOperators(cfg)
@@ -87,6 +91,12 @@
 		s.store = openStore(os.TempDir(), cfg.Name, log)
 		defer s.store.close()
 		paired = s.store.paired()
+		if kept := l.kept; kept != nil && s.store.look().Seq == 0 && (len(kept.Banned) > 0 || kept.Drained) {
+			// The shared file lives in memory and died with the machine; what was kept on disk is the truth.
+			if _, err := s.store.update(func(st *shared) { st.Banned, st.Drained = kept.Banned, kept.Drained }); err != nil {
+				log.Error("state: the kept bans and drain are not shared with a next process", "error", err)
+			}
+		}
 		go l.run()
 		if err := s.apply(s.store.look(), paired); err != nil {
 			return err
@@ -282,7 +292,11 @@
 
 // setDrained sends clients away, or takes them again.
 func (s *server) setDrained(on bool) {
-	if !s.drained.CompareAndSwap(!on, on) || !on {
+	if !s.drained.CompareAndSwap(!on, on) {
+		return
+	}
+	s.loop.post(s.loop.keep) // a drain must outlive a crash: kept at once
+	if !on {
 		return
 	}
 	go func() {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -73,8 +73,9 @@
 	Errs    float64 `json:"errs"`
 }
 
-// Snapshot is all that is kept. Written is wall-clock time; nothing else in it
-// is a time.
+// Snapshot is all that is kept. Written is the wall-clock time at which
+// discovery last told the list, from which its age runs; nothing else in it is
+// a time.
 type Snapshot struct {
 	Name    string    `json:"name"` // of the sidecar; a file of another is foreign
 	Written time.Time `json:"written"`
