Prove in the lab that kept state serves through a restart while discovery is down

Change: a lab test of 3 sidecars keeping state, discovery down from 2 s to 7 s, kill -9 of two at 3 s; a third starts on a junk state file.

--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -278,3 +278,64 @@
 		t.Error("the SIGKILL of a paused sidecar is not a crash")
 	}
 }
+
+// Sidecars that keep state and are killed -9 while discovery is down serve again from the kept list at once; one
+// whose state file is junk says so, sets it aside and starts cold.
+func TestKeptStateServesThroughABlindRestart(t *testing.T) {
+	exp, err := Parse("blind.toml", []byte(`name = "blind"
+seed = 5
+duration = "8s"
+[fleet]
+sidecars = 3
+servers = 6
+zones = ["a"]
+state = true
+[server]
+capacity = 8
+queue = 16
+latency = "4ms"
+[load]
+rate = 30
+deadline = "1s"
+order_share = 0.3
+[[fault]]
+at = "2s"
+kind = "discovery"
+mode = "down"
+for = "5s"
+[[fault]]
+at = "3s"
+kind = "kill"
+sidecars = [0, 1]
+for = "500ms"
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	folder := t.TempDir()
+	os.MkdirAll(filepath.Join(folder, "state"), 0o700)
+	os.WriteFile(filepath.Join(folder, "state", "s2.db"), []byte("not a state file"), 0o600)
+	result, err := Run(context.Background(), exp, filepath.Join(programs, "pinedale"), folder, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(result.Summary())
+	if n := result.Breaches(); n > 0 {
+		t.Errorf("%d breaches: %v, examples %v", n, result.Outcomes, result.Examples)
+	}
+	if len(result.Restarts) != 2 {
+		t.Fatalf("restarts %+v, want 2", result.Restarts)
+	}
+	for _, r := range result.Restarts {
+		// Without state neither would be ready before discovery came back, 3.5 s later.
+		if r.ReadyMs > 2000 || r.FirstServedMs < 0 || r.FirstServedMs > 2500 {
+			t.Errorf("restart %+v: not served from the kept list", r)
+		}
+	}
+	if aside, _ := filepath.Glob(filepath.Join(folder, "state", "s2.db.bad-*")); len(aside) != 1 {
+		t.Errorf("the junk state file was not set aside: %v", aside)
+	}
+	if log, _ := os.ReadFile(filepath.Join(folder, "s02.log")); !strings.Contains(string(log), "s2.db: invalid") {
+		t.Errorf("s2 did not name its bad state file")
+	}
+}
