--- a/cmd/pinedale/upgrade_test.go
+++ b/cmd/pinedale/upgrade_test.go
@@ -24,12 +24,16 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-// operated starts the program once more with an operators' address of its own and waits for its yes.
-func operated(t *testing.T, text, folder string) (*exec.Cmd, string) {
+// operated starts the program once more with an operators' address of its own and waits for its yes. Its log goes
+// to log, if given.
+func operated(t *testing.T, text, folder string, log ...io.Writer) (*exec.Cmd, string) {
 	t.Helper()
 	ops := freeAddress(t)
 	cmd := command(t, strings.Replace(text, `{`, fmt.Sprintf(`{"ops":%q,`, ops), 1))
 	cmd.Env = append(cmd.Env, "TMPDIR="+folder)
+	if len(log) > 0 {
+		cmd.Stderr = log[0]
+	}
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
