Keep bans and drain once per applied change, and drop copies in kept state's code

Change: server.apply, through which every change of bans and drain comes, posts one keep after both; recall sets bans without tricks; the save's time is an atomic; the kept list is used as it is; one table of the single records serves Save and Load; Sidecars.Restarts; plain counts in the lab's restart reckoning; the state import in the project's group.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -80,10 +80,7 @@
 	load.Wait()
 	cancel()
 	<-done
-	sidecars.mu.Lock()
-	restarts := slices.Clone(sidecars.restarts)
-	sidecars.mu.Unlock()
-	result := reckon(exp, ledger, played, restarts)
+	result := reckon(exp, ledger, played, sidecars.Restarts())
 	result.SidecarCPUSeconds, result.SidecarMeanMB, result.SidecarPeakMB = sidecars.Cost()
 	result.LabCPUSeconds, result.LabPeakMB = selfCost()
 	if peers != nil {
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -115,6 +116,13 @@
 		s.exp.Fleet.Sidecars, i, i%len(s.exp.Fleet.Zones))
 }
 
+// Restarts lists the starts again so far, with their times to the yes.
+func (s *Sidecars) Restarts() []Restart {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.restarts)
+}
+
 // stateDir is the configuration's key for the folder of kept state, where the experiment keeps it.
 func (s *Sidecars) stateDir() string {
 	if !s.exp.Fleet.State {
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -117,8 +117,11 @@
 		}
 	}
 	slices.SortFunc(mine, func(a, b *record) int { return int(a.sent - b.sent) })
+	ready := began + time.Duration(r.ReadyMs*float64(time.Millisecond))
 	for _, at := range l.missed[r.Sidecar] {
-		r.Waited += int(share(at >= began && at < began+time.Duration(r.ReadyMs*float64(time.Millisecond))))
+		if at >= began && at < ready {
+			r.Waited++
+		}
 	}
 	for _, rec := range mine {
 		if rec.outcome == Served && (r.FirstServedMs < 0 || ms(rec.sent+rec.took-began) < r.FirstServedMs) {
@@ -142,7 +145,9 @@
 		for _, rec := range mine {
 			if rec.sent >= from && rec.sent < from+settleWindow {
 				sent++
-				served += int(share(rec.outcome == Served))
+				if rec.outcome == Served {
+					served++
+				}
 			}
 		}
 		if sent >= 5 && float64(served) >= 0.99*float64(sent) {
@@ -152,13 +157,6 @@
 	return r
 }
 
-func share(yes bool) float64 {
-	if yes {
-		return 1
-	}
-	return 0
-}
-
 // ms is a duration in milliseconds.
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -7,11 +7,11 @@
 	"io"
 	"net"
 	"net/http"
-	"peatpost/internal/state"
 	"slices"
 	"time"
 
 	"peatpost/balancer"
+	"peatpost/internal/state"
 )
 
 const (
--- a/internal/sidecar/durable.go
+++ b/internal/sidecar/durable.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"os"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"peatpost/balancer"
@@ -49,10 +50,7 @@
 	if kept == nil {
 		return list
 	}
-	keeper := l.keeper
-	l.keeper = nil // no snapshot before the list is in
 	l.setBans(now, kept.Banned)
-	l.keeper = keeper
 	fresh := state.Fresh(kept.Written, time.Now(), l.cfg.StateAge)
 	if !fresh || (len(list.Hosts) > 0 && kept.Seq < list.Seq) {
 		l.log.Info("state: the kept list is not used", "written", kept.Written, "seq", kept.Seq, "known_seq", list.Seq,
@@ -60,10 +58,7 @@
 		return list
 	}
 	l.listedAt = kept.Written
-	list = registry{Seq: kept.Seq, Whole: kept.Whole}
-	for _, h := range kept.Hosts {
-		list.Hosts = append(list.Hosts, h)
-	}
+	list = registry{Seq: kept.Seq, Whole: kept.Whole, Hosts: kept.Hosts}
 	if err := list.validate(); err != nil {
 		l.log.Error("state: the kept list is not valid; not used", "error", err)
 		return l.cfg.known
@@ -90,11 +85,11 @@
 	dir  string
 	log  *slog.Logger
 	next chan *state.Snapshot
-	took chan time.Duration // how long the last save took, for the loop's cadence
+	took atomic.Int64 // nanoseconds the last save took, for the loop's cadence
 }
 
 func newKeeper(dir string, log *slog.Logger) *keeper {
-	k := &keeper{dir: dir, log: log, next: make(chan *state.Snapshot, 1), took: make(chan time.Duration, 1)}
+	k := &keeper{dir: dir, log: log, next: make(chan *state.Snapshot, 1)}
 	go k.run()
 	return k
 }
@@ -118,11 +113,7 @@
 		began := time.Now()
 		_, err := state.Save(k.dir, s)
 		took := time.Since(began)
-		select {
-		case <-k.took:
-		default:
-		}
-		k.took <- took
+		k.took.Store(int64(took))
 		if err != nil != failing { // once when it begins to fail, once when it works again
 			failing = err != nil
 			if failing {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -163,12 +163,7 @@
 			l.up.prune()
 		case <-keepAt:
 			l.keep(l.clock.now())
-			took := time.Duration(0)
-			select {
-			case took = <-l.keeper.took:
-			default:
-			}
-			keepAt = time.After(keepCadence(took))
+			keepAt = time.After(keepCadence(time.Duration(l.keeper.took.Load())))
 		case <-l.ctx.Done():
 			return
 		}
@@ -370,7 +365,6 @@
 			l.reaim(id)
 			l.balancer.Ban(now, id)
 			l.log.Info("banned", "host", name, "endpoint", id)
-			defer l.keep(now) // a ban must outlive a crash: kept at once
 		}
 	}
 	for id := range l.banned {
@@ -378,7 +372,6 @@
 			delete(l.banned, id)
 			l.reaim(id)
 			l.balancer.Unban(now, id)
-			defer l.keep(now)
 			l.log.Info("ban ended", "host", l.names[id], "endpoint", id)
 		}
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -199,6 +199,7 @@
 	}
 	s.applied = state.Seq
 	s.setDrained(state.Drained)
+	s.loop.post(s.loop.keep) // bans and drain must outlive a crash: kept at once
 	return nil
 }
 
@@ -292,11 +293,7 @@
 
 // setDrained sends clients away, or takes them again.
 func (s *server) setDrained(on bool) {
-	if !s.drained.CompareAndSwap(!on, on) {
-		return
-	}
-	s.loop.post(s.loop.keep) // a drain must outlive a crash: kept at once
-	if !on {
+	if !s.drained.CompareAndSwap(!on, on) || !on {
 		return
 	}
 	go func() {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -48,6 +48,13 @@
 	keyList       = []byte("list")
 	keyOps        = []byte("ops")
 	keyFleet      = []byte("fleet")
+
+	// singles are the records of which a snapshot has one, in the order Save writes them: meta, list, ops, fleet.
+	// Each one's body holds some of a Snapshot's fields, under the same JSON names.
+	singles = [...]struct {
+		key  []byte
+		kind byte
+	}{{keyMeta, kindMeta}, {keyList, kindList}, {keyOps, kindOps}, {keyFleet, kindFleet}}
 )
 
 // Host is one server of the list as discovery last told it.
@@ -156,12 +163,8 @@
 			Epoch uint64 `json:"epoch"`
 			Stage string `json:"stage"`
 		}{s.Epoch, s.Stage}
-		for _, r := range []struct {
-			key  []byte
-			kind byte
-			v    any
-		}{{keyMeta, kindMeta, meta}, {keyList, kindList, list}, {keyOps, kindOps, ops}, {keyFleet, kindFleet, fleet}} {
-			if err := put(top, r.key, r.kind, r.v); err != nil {
+		for i, v := range [len(singles)]any{meta, list, ops, fleet} {
+			if err := put(top, singles[i].key, singles[i].kind, v); err != nil {
 				return err
 			}
 		}
@@ -233,10 +236,7 @@
 			}
 			return nil
 		}
-		for _, r := range []struct {
-			key  []byte
-			kind byte
-		}{{keyMeta, kindMeta}, {keyList, kindList}, {keyOps, kindOps}, {keyFleet, kindFleet}} {
+		for _, r := range singles {
 			if err := get(top, r.key, r.kind, s); err != nil {
 				return err
 			}
