--- /dev/null
+++ b/internal/lab/lateness.go
@@ -0,0 +1,93 @@
+package lab
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	tickEvery = 5 * time.Millisecond
+	stallFrom = 30 * time.Millisecond // a timer this late marks a spell in which the lab could not keep time
+	lateP99   = 20 * time.Millisecond // timers whose p99 is later make the whole run late
+)
+
+// lateness measures how late the lab's own timers and arrivals ran. What a
+// sidecar seems to do wrong in a spell in which they did is not held against it.
+type lateness struct {
+	ledger *Ledger
+
+	mu       sync.Mutex
+	timers   *hdrhistogram.Histogram // µs
+	arrivals *hdrhistogram.Histogram // µs
+	stalls   []window                // on the lab's clock, by their ends
+}
+
+func newLateness(ledger *Ledger) *lateness {
+	return &lateness{ledger: ledger, timers: newHistogram(), arrivals: newHistogram()}
+}
+
+// watch keeps a timer until ctx ends.
+func (l *lateness) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		due := l.ledger.Since() + tickEvery
+		time.Sleep(tickEvery)
+		l.note(l.timers, due)
+	}
+}
+
+// note records what was due at due and happens now.
+func (l *lateness) note(h *hdrhistogram.Histogram, due time.Duration) {
+	now := l.ledger.Since()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h.RecordValue(max(0, now-due).Microseconds())
+	if now-due >= stallFrom {
+		l.stalls = append(l.stalls, window{due, now})
+	}
+}
+
+// within is how much of [from, to] the lab could not keep time.
+func (l *lateness) within(from, to time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var sum time.Duration
+	for _, w := range l.stalls {
+		sum += max(0, min(w.to, to)-max(w.from, from))
+	}
+	return sum
+}
+
+// Lateness is how late the lab itself ran, in milliseconds: its timers, and
+// the requests that it sent. StalledMs sums the spells of 30 ms and more.
+type Lateness struct {
+	Timers    Percentiles `json:"timers_ms"`
+	Arrivals  Percentiles `json:"arrivals_ms"`
+	StalledMs float64     `json:"stalled_ms"`
+	Late      bool        `json:"late"` // timers' p99 over 20 ms: figures of time in this result are not to be trusted
+}
+
+// report merges the spells, so that those that several timers saw count once, and sums up.
+func (l *lateness) report() Lateness {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	slices.SortFunc(l.stalls, func(a, b window) int { return int(a.from - b.from) })
+	var merged []window
+	for _, w := range l.stalls {
+		if n := len(merged); n > 0 && w.from <= merged[n-1].to {
+			merged[n-1].to = max(merged[n-1].to, w.to)
+		} else {
+			merged = append(merged, w)
+		}
+	}
+	l.stalls = merged
+	r := Lateness{Timers: percentiles(l.timers), Arrivals: percentiles(l.arrivals)}
+	for _, w := range merged {
+		r.StalledMs += ms(w.to - w.from)
+	}
+	r.Late = r.Timers.P99 > ms(lateP99)
+	return r
+}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -28,6 +28,7 @@
 	Lost       Outcome = "lost"
 	Forged     Outcome = "forged" // a 200 whose body no server made for this request
 	Unfinished Outcome = "unfinished"
+	Excused    Outcome = "excused" // late, or given up by its client, as the lab itself ran late
 )
 
 type record struct {
@@ -36,7 +37,22 @@
 	sent    time.Duration
 	took    time.Duration
 	outcome Outcome
-	ranAt   []string // servers that ran it
+	waited  bool      // its client gave up waiting
+	ranAt   []string  // servers that ran it
+	came    []arrival // at servers, where the run has operators
+}
+
+// arrival is a request's last byte at a server.
+type arrival struct {
+	id, server string
+	at         time.Duration
+}
+
+// drainBreach is a request that came to a server over 1.5 s into its drain.
+type drainBreach struct {
+	text        string // server:id
+	sidecar     int
+	drained, at time.Duration
 }
 
 // Ledger tracks every request by id: what the client saw and which servers
@@ -45,8 +61,9 @@
 	mu         sync.Mutex
 	start      time.Time
 	records    map[string]*record
-	strange    []string                // ids that no client sent, as server:id
-	afterDrain []string                // requests that reached a server over 1.5 s into its drain, as server:id
+	strange    []string // ids that no client sent, as server:id
+	afterDrain []drainBreach
+	arrivals   bool                    // record them
 	missed     map[int][]time.Duration // by sidecar, when a request was not sent as it was not up
 }
 
@@ -65,6 +82,9 @@
 // Since is the lab's clock: the time since the ledger began.
 func (l *Ledger) Since() time.Duration { return time.Since(l.start) }
 
+// micros is the lab's clock in microseconds.
+func (l *Ledger) micros() int64 { return l.Since().Microseconds() }
+
 // open records a request as sent now, and gives the time.
 func (l *Ledger) open(id string, sidecar int, order bool) time.Duration {
 	l.mu.Lock()
@@ -81,6 +101,13 @@
 	r.outcome, r.took = outcome, l.Since()-r.sent
 }
 
+// gaveUp records that a client's own time ran out.
+func (l *Ledger) gaveUp(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records[id].waited = true
+}
+
 // Known tells whether a client sent this id.
 func (l *Ledger) Known(id string) bool {
 	l.mu.Lock()
@@ -105,10 +132,21 @@
 }
 
 // AfterDrain records a request that came to a server over 1.5 s into its drain.
-func (l *Ledger) AfterDrain(server, id string) {
+func (l *Ledger) AfterDrain(server, id string, drained, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.afterDrain = append(l.afterDrain, server+":"+id)
+	if r := l.records[id]; r != nil {
+		l.afterDrain = append(l.afterDrain, drainBreach{server + ":" + id, r.sidecar, drained.Sub(l.start), at.Sub(l.start)})
+	}
+}
+
+// Came records when a request came to a server.
+func (l *Ledger) Came(server, id string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.records[id]; r != nil && l.arrivals {
+		r.came = append(r.came, arrival{server: server, at: at.Sub(l.start)})
+	}
 }
 
 // client is the application beside one sidecar.
@@ -118,12 +156,13 @@
 	ledger   *Ledger
 	http     *http.Client
 	sidecars *Sidecars
+	late     *lateness
 }
 
-func newClient(index int, exp *Experiment, ledger *Ledger, sidecars *Sidecars) *client {
+func newClient(index int, exp *Experiment, ledger *Ledger, sidecars *Sidecars, late *lateness) *client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true,
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
-	return &client{index: index, exp: exp, ledger: ledger, sidecars: sidecars, http: &http.Client{Transport: transport}}
+	return &client{index: index, exp: exp, ledger: ledger, sidecars: sidecars, late: late, http: &http.Client{Transport: transport}}
 }
 
 // run sends the sidecar's arrivals open-loop, each at its time, and returns
@@ -139,6 +178,7 @@
 				return
 			}
 		}
+		c.late.note(c.late.arrivals, at)
 		id := fmt.Sprintf("%02x%06x%08x", c.index, i, uint32(c.exp.Seed))
 		order := float64(i%1000)/1000 < c.exp.Load.OrderShare
 		if !c.sidecars.Accepting(c.index) {
@@ -169,14 +209,14 @@
 	sent := c.ledger.open(id, c.index, order)
 	response, err := c.http.Do(r)
 	if err != nil {
-		c.ledger.close(id, c.failure(err, sent))
+		c.ledger.close(id, c.failure(id, err, sent))
 		return
 	}
 	answer, err := io.ReadAll(response.Body)
 	response.Body.Close()
 	switch {
 	case err != nil:
-		c.ledger.close(id, c.failure(err, sent))
+		c.ledger.close(id, c.failure(id, err, sent))
 	case response.StatusCode == http.StatusOK && string(answer) != "ok:"+id:
 		c.ledger.close(id, Forged)
 	case response.StatusCode == http.StatusOK && c.ledger.Since()-sent > deadline+50*time.Millisecond:
@@ -193,7 +233,10 @@
 // failure classes a request without a whole answer: never taken where the
 // connection never came up; cut where its sidecar was killed or paused while
 // it was out; lost otherwise.
-func (c *client) failure(err error, sent time.Duration) Outcome {
+func (c *client) failure(id string, err error, sent time.Duration) Outcome {
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.ledger.gaveUp(id)
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return Unreached
--- /dev/null
+++ b/internal/lab/machines.go
@@ -0,0 +1,208 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// capDACOverride lets root write where permissions forbid it.
+const capDACOverride = 1
+
+// starter starts every child of the lab from one thread that lives as long as
+// the lab: a child's parent-death signal comes when that thread ends. The
+// thread gives up CAP_DAC_OVERRIDE for its children, so that a read-only disk
+// binds them under root too, and blocks SIGXFSZ, so that a write to a full
+// disk fails as an error instead of ending the process.
+var starter = sync.OnceValue(func() chan<- func() {
+	calls := make(chan func())
+	go func() {
+		runtime.LockOSThread() // never unlocked: the thread's settings must not reach other work
+		unix.Prctl(unix.PR_CAPBSET_DROP, capDACOverride, 0, 0, 0)
+		var set unix.Sigset_t
+		set.Val[(unix.SIGXFSZ-1)/64] |= 1 << ((unix.SIGXFSZ - 1) % 64)
+		unix.PthreadSigmask(unix.SIG_BLOCK, &set, nil)
+		for call := range calls {
+			call()
+		}
+	}()
+	return calls
+})
+
+func startChild(cmd *exec.Cmd) error {
+	done := make(chan error)
+	starter() <- func() { done <- cmd.Start() }
+	return <-done
+}
+
+// disk is one machine's: a folder with the kept state of its sidecars and
+// their TMPDIR. Each of its faults is counted, and ends with the last.
+type disk struct {
+	folder string
+
+	mu       sync.Mutex
+	full     int
+	readonly int
+	slow     map[int]func() // by fault, what ends it
+}
+
+// newDisk makes the folder, or takes an earlier run's of the same place.
+func newDisk(folder string) (*disk, error) {
+	d := &disk{folder: folder, slow: map[int]func(){}}
+	return d, d.make()
+}
+
+func (d *disk) make() error {
+	for _, f := range []string{d.state(), d.tmp()} {
+		if err := os.MkdirAll(f, 0o700); err != nil {
+			return fmt.Errorf("disk: %w", err)
+		}
+	}
+	return nil
+}
+
+func (d *disk) state() string { return filepath.Join(d.folder, "state") }
+func (d *disk) tmp() string   { return filepath.Join(d.folder, "tmp") }
+
+// reboot clears what a loss of power takes (TMPDIR); replace empties the whole disk, as a new machine's.
+func (d *disk) reboot() error { return d.clear(d.tmp()) }
+
+func (d *disk) replace() error { return d.clear(d.folder) }
+
+func (d *disk) clear(folder string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := os.RemoveAll(folder); err != nil {
+		return err
+	}
+	if err := d.make(); err != nil {
+		return err
+	}
+	return d.permit()
+}
+
+// permit gives folders and files the permissions of the faults now on. It holds d.mu.
+func (d *disk) permit() error {
+	return filepath.WalkDir(d.folder, func(path string, e fs.DirEntry, err error) error {
+		if errors.Is(err, fs.ErrNotExist) {
+			return nil // a file that a sidecar renamed meanwhile
+		} else if err != nil {
+			return err
+		}
+		mode := os.FileMode(0o600)
+		if e.IsDir() {
+			mode = 0o700
+		}
+		if d.readonly > 0 {
+			mode &^= 0o200
+		}
+		if err := os.Chmod(path, mode); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return err
+		}
+		return nil
+	})
+}
+
+// setReadonly forbids writing (on) or ends one such fault.
+func (d *disk) setReadonly(on bool) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.readonly += sign(on)
+	return d.permit()
+}
+
+// setFull counts faults that make the disk full; limit gives the processes' file size limit.
+func (d *disk) setFull(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full += sign(on)
+}
+
+// limit is the file size a process of this machine may write now, in bytes.
+func (d *disk) limit() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.full > 0 {
+		return 0
+	}
+	return unix.RLIM_INFINITY
+}
+
+// setSlow makes every save of a state file on this disk wait up to delay: the
+// lab holds the files' locks for delay at a time, with gaps for one to get in.
+func (d *disk) setSlow(fault int, delay time.Duration, on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if end := d.slow[fault]; end != nil {
+		end()
+		delete(d.slow, fault)
+	}
+	if !on {
+		return
+	}
+	stop := make(chan struct{})
+	d.slow[fault] = sync.OnceFunc(func() { close(stop) })
+	go d.hold(delay, stop)
+}
+
+func (d *disk) hold(delay time.Duration, stop <-chan struct{}) {
+	const gap = 60 * time.Millisecond // bbolt tries its lock each 50 ms
+	for {
+		var held []*os.File
+		paths, _ := filepath.Glob(filepath.Join(d.state(), "*.db"))
+		for _, path := range paths {
+			f, err := os.Open(path)
+			if err != nil {
+				continue
+			}
+			if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+				f.Close() // a save has it: it waits the next time
+				continue
+			}
+			held = append(held, f)
+		}
+		ended := false
+		select {
+		case <-time.After(delay):
+		case <-stop:
+			ended = true
+		}
+		for _, f := range held {
+			f.Close() // gives the lock back
+		}
+		if ended {
+			return
+		}
+		select {
+		case <-time.After(gap):
+		case <-stop:
+			return
+		}
+	}
+}
+
+// close ends the disk's faults and makes its files removable.
+func (d *disk) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, end := range d.slow {
+		end()
+	}
+	d.readonly = 0
+	d.permit()
+}
+
+func sign(on bool) int {
+	if on {
+		return 1
+	}
+	return -1
+}
--- a/internal/sidecar/ops.go
+++ b/internal/sidecar/ops.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -43,6 +44,7 @@
 	o := &operators{server: s, log: s.loop.log, callers: newClients(opsMost)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", o.ready)
+	mux.HandleFunc("GET /pin-servers", o.tell)
 	mux.HandleFunc("POST /pin-servers/disable", o.ban(true))
 	mux.HandleFunc("POST /pin-servers/enable", o.ban(false))
 	mux.HandleFunc("POST /drain", o.drain(true))
@@ -84,6 +86,19 @@
 	}
 }
 
+// tell answers with what operators ordered of this sidecar, as JSON: the ids of pin servers out by hand, sorted, and
+// whether it is drained. Both processes of an upgrade tell the same.
+func (o *operators) tell(w http.ResponseWriter, in *http.Request) {
+	state := o.server.store.look()
+	banned := append([]string{}, state.Banned...)
+	slices.Sort(banned)
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(struct {
+		Banned  []string `json:"banned"`
+		Drained bool     `json:"drained"`
+	}{banned, state.Drained})
+}
+
 // ban answers a call that takes a pin server out of use by hand, or into use again.
 func (o *operators) ban(on bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, in *http.Request) {
