Keep operators' orders on disk before the yes; test every kind of the lab's faults

The lab's new machine fault showed it: a ban, the machine killed at once and started again with its disk, {"banned":[]}.

Change: with state_dir the change is fsynced before anybody learns of it and before the yes (503 otherwise, nothing changed); orders are numbered in the state file and the larger number stands; what was recalled holds without TMPDIR.

--- /dev/null
+++ b/internal/lab/faults_test.go
@@ -0,0 +1,433 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"peatpost/internal/lab/history"
+)
+
+const patience = 20 * time.Second
+
+// rig is a world without load, whose faults a test plays one by one and observes from outside.
+type rig struct {
+	*testing.T
+	*world
+	begun  map[int]chan struct{}
+	acting sync.WaitGroup
+	socks  []*net.UDPConn // in place of sidecars, where a test speaks for them
+	heard  []chan string  // what comes to each
+}
+
+// newRig makes 4 sidecars on 2 machines, 2 servers; with started real processes run, otherwise the test speaks for them by datagrams.
+func newRig(t *testing.T, started bool, more string) *rig {
+	t.Helper()
+	exp, err := Parse("rig.toml", []byte("duration = \"60s\"\n"+more+
+		"[fleet]\nsidecars = 4\nservers = 2\nmachines = 2\npeers = true\nstate = true\n[load]\nrate = 0\n[ops]\non = true\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := newWorld(exp, filepath.Join(programs, "pinedale"), t.TempDir(), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{T: t, world: w, begun: map[int]chan struct{}{}}
+	t.Cleanup(func() { r.acting.Wait(); w.close() })
+	if started {
+		if err := w.sidecars.startAll(); err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	for i := range exp.Fleet.Sidecars {
+		sock, err := net.ListenPacket("udp4", w.peers.Listen(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { sock.Close() })
+		heard := make(chan string, 1000)
+		r.socks, r.heard = append(r.socks, sock.(*net.UDPConn)), append(r.heard, heard)
+		go func() {
+			buffer := make([]byte, 512)
+			for {
+				n, _, err := sock.ReadFrom(buffer)
+				if err != nil {
+					return
+				}
+				heard <- string(buffer[:n])
+			}
+		}()
+	}
+	return r
+}
+
+// fault begins a fault and returns what ends it; both are done when they return.
+func (r *rig) fault(f Fault) (heal func()) {
+	r.Helper()
+	f.For = Duration{time.Second}
+	if err := r.exp.validateFault(f); err != nil {
+		r.Fatal(err)
+	}
+	id := len(r.begun) + len(r.rules) + 1
+	for r.begun[id] != nil || r.rules[id] != nil {
+		id++
+	}
+	play := func(heal bool) {
+		r.do(Event{Fault: f, ID: id, Heal: heal}, r.begun, &r.acting)
+		r.acting.Wait()
+	}
+	play(false)
+	return func() { play(true) }
+}
+
+// say sends a datagram of sidecar i's to all the others.
+func (r *rig) say(i int, text string) {
+	r.Helper()
+	to, err := net.ResolveUDPAddr("udp4", r.peers.Hub())
+	if err != nil {
+		r.Fatal(err)
+	}
+	if _, err := r.socks[i].WriteTo([]byte(text), to); err != nil {
+		r.Fatal(err)
+	}
+}
+
+// hears collects what came to sidecar j of texts with this prefix, until one of the word until (past all faults of the relay, in order).
+func (r *rig) hears(j int, until string) (got []string) {
+	r.Helper()
+	for end := time.After(patience); ; {
+		select {
+		case text := <-r.heard[j]:
+			if text == until {
+				return got
+			}
+			got = append(got, text)
+		case <-end:
+			r.Fatalf("s%d never heard %q, only %v", j, until, got)
+		}
+	}
+}
+
+func (r *rig) await(what string, is func() bool) {
+	r.Helper()
+	for end := time.Now().Add(patience); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			r.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// passes tells which datagrams pass, as "01" from 0 to 1: each sidecar says
+// one; the relay drops at once, so that what has been relayed or dropped of all is counted, not waited for.
+func (r *rig) passes() string {
+	r.Helper()
+	count := func() int { relayed, dropped, _, _ := r.peers.Counts(); return relayed + dropped }
+	before, relayed := count(), 0
+	relayed, _, _, _ = r.peers.Counts()
+	for i := range r.socks {
+		r.say(i, fmt.Sprint(i))
+	}
+	r.await("all datagrams to be relayed or dropped", func() bool { return count() == before+len(r.socks)*(len(r.socks)-1) })
+	now, _, _, _ := r.peers.Counts()
+	var pairs []string
+	for len(pairs) < now-relayed {
+		for j := range r.heard {
+			select {
+			case text := <-r.heard[j]:
+				pairs = append(pairs, text+fmt.Sprint(j))
+			default:
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	all := ""
+	for i := range r.socks {
+		for j := range r.socks {
+			if pair := fmt.Sprint(i, j); i != j && strings.Contains(strings.Join(pairs, ","), strings.ReplaceAll(pair, " ", "")) {
+				all += strings.ReplaceAll(pair, " ", "") + " "
+			}
+		}
+	}
+	return strings.TrimSpace(all)
+}
+
+const everyPair = "01 02 03 10 12 13 20 21 23 30 31 32"
+
+// A datagram of a cut link never arrives, the reverse does; overlapping cuts end in any order.
+func TestLinkFaultsCutDatagrams(t *testing.T) {
+	r := newRig(t, false, "[groups]\nleft = [\"s0\", \"s2\"]\n")
+	for name, c := range map[string]struct {
+		fault Fault
+		pass  string
+	}{
+		"one way":      {Fault{Kind: "cut", From: []string{"s0"}, To: []string{"s1"}, Direction: "out"}, "02 03 10 12 13 20 21 23 30 31 32"},
+		"both ways":    {Fault{Kind: "cut", From: []string{"machine:1"}, To: []string{"s0"}}, "02 12 13 20 21 23 31 32"},
+		"isolated in":  {Fault{Kind: "isolate", Sidecars: []int{3}, Direction: "in"}, "01 02 10 12 20 21 30 31 32"},
+		"split, 2 all": {Fault{Kind: "split", Groups: [][]string{{"group:left"}, {"s1", "s2", "s3"}}}, "02 12 13 20 21 23 31 32"},
+		"all lost":     {Fault{Kind: "link", From: []string{"s3"}, Loss: 1, Direction: "out"}, "01 02 03 10 12 13 20 21 23"},
+		"peers":        {Fault{Kind: "peers", Share: 1}, ""},
+	} {
+		heal := r.fault(c.fault)
+		if got := r.passes(); got != c.pass {
+			t.Errorf("%s: %s pass, want %s", name, got, c.pass)
+		}
+		heal()
+		if got := r.passes(); got != everyPair {
+			t.Errorf("%s healed: %s pass", name, got)
+		}
+	}
+	first := r.fault(Fault{Kind: "cut", From: []string{"s0"}, To: []string{"all"}})
+	second := r.fault(Fault{Kind: "isolate", Sidecars: []int{0, 1}})
+	first()
+	if got := r.passes(); got != "23 32" {
+		t.Errorf("the first of two cuts ended: %s pass", got)
+	}
+	second()
+	if got := r.passes(); got != everyPair {
+		t.Errorf("both ended: %s pass", got)
+	}
+}
+
+// A link doubles, holds back and thins out datagrams, in its direction alone.
+func TestLinkFaultsShapeDatagrams(t *testing.T) {
+	r := newRig(t, false, "")
+	const n = 200
+	send := func(f Fault) []string { // what s1 heard of n datagrams of s0's
+		before, lost, _, _ := r.peers.Counts()
+		heal := r.fault(f)
+		for k := range n {
+			r.say(0, fmt.Sprint(k))
+		}
+		r.await("the relay", func() bool { a, b, _, _ := r.peers.Counts(); return a+b-before-lost >= 3*n })
+		heal()
+		now, _, _, _ := r.peers.Counts()
+		var got []string
+		r.await("all that was relayed to arrive", func() bool {
+			for len(r.heard[1]) > 0 {
+				got = append(got, <-r.heard[1])
+			}
+			return len(got) == now-before-2*n // s2 and s3 hear each once
+		})
+		return got
+	}
+	link := Fault{Kind: "link", From: []string{"s0"}, To: []string{"s1"}, Direction: "out"}
+	doubled, thinned, reordered := link, link, link
+	doubled.Duplicate, thinned.Rate, reordered.Reorder = 1, 1, 0.3
+	if got := send(doubled); len(got) != 2*n {
+		t.Errorf("doubled: %d of %d came", len(got), 2*n)
+	}
+	if got := send(thinned); len(got) == 0 || len(got) > n/2 {
+		t.Errorf("one a second: %d of %d came", len(got), n)
+	}
+	got, overtaken := send(reordered), 0
+	for k := 1; k < len(got); k++ {
+		var before, after int
+		fmt.Sscan(got[k-1], &before)
+		fmt.Sscan(got[k], &after)
+		if after < before {
+			overtaken++
+		}
+	}
+	if len(got) != n || overtaken == 0 {
+		t.Errorf("reordered: %d of %d came, %d overtaken", len(got), n, overtaken)
+	}
+}
+
+// A flap is played as cuts, one a period, each ending before the next.
+func TestFlapIsCutEachPeriod(t *testing.T) {
+	exp, err := Parse("flap.toml", []byte("duration = \"9s\"\n[fleet]\nsidecars = 2\nservers = 1\npeers = true\n[[fault]]\nat = \"1s\"\nfor = \"2s\"\nkind = \"flap\"\nperiod = \"500ms\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var times []string
+	for _, ev := range exp.Schedule() {
+		times = append(times, fmt.Sprint(ev.At, ev.Heal))
+	}
+	if got := strings.Join(times, " "); got != "1s false 1.25s true 1.5s false 1.75s true 2s false 2.25s true 2.5s false 2.75s true" {
+		t.Errorf("a flap of 2 s by 500 ms: %s", got)
+	}
+}
+
+// get asks a server or the agent as sidecar i does, and gives the body, "" for silence.
+func (r *rig) get(i int, f *Faults, path string, patience time.Duration) string {
+	client := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + f.At(r.sidecars.sub.address(i)) + path)
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return string(body)
+}
+
+// The link from one sidecar to one server is silent while the others pass; what was held passes afterwards. So is one to discovery.
+func TestLinkFaultsReachServersAndDiscovery(t *testing.T) {
+	r := newRig(t, false, "")
+	server, agent := r.servers[1].Faults, r.disco.listener
+	heal := r.fault(Fault{Kind: "cut", From: []string{"s2"}, To: []string{"v1", "discovery"}, Direction: "in"})
+	held := make(chan string, 2)
+	for path, f := range map[string]*Faults{"/stats": server, "/registry/instances": agent} {
+		go func() { held <- r.get(2, f, path, patience) }()
+	}
+	if r.get(1, server, "/stats", patience) == "" || r.get(2, r.servers[0].Faults, "/stats", patience) == "" || r.get(0, agent, "/registry/instances", patience) == "" {
+		t.Error("a link that is not cut is silent")
+	}
+	select {
+	case text := <-held:
+		t.Errorf("through a cut link came %q", text)
+	default:
+	}
+	heal()
+	for range 2 {
+		if text := <-held; text == "" {
+			t.Error("what the cut held did not pass after it")
+		}
+	}
+	heal = r.fault(Fault{Kind: "delay", Servers: []int{0}, Delay: Duration{50 * time.Millisecond}})
+	if began := time.Now(); r.get(0, r.servers[0].Faults, "/stats", patience) == "" || time.Since(began) < 100*time.Millisecond {
+		t.Errorf("delayed 50 ms each way, a call took %v", time.Since(began))
+	}
+	heal()
+	heal = r.fault(Fault{Kind: "reset", Servers: []int{0}})
+	if text := r.get(0, r.servers[0].Faults, "/stats", patience); text != "" {
+		t.Errorf("under resets came %q", text)
+	}
+	heal()
+	if r.get(0, r.servers[0].Faults, "/stats", patience) == "" {
+		t.Error("silent after the resets")
+	}
+}
+
+// ops asks sidecar i's operators' address; -1 where it is down.
+func (r *rig) ops(method string, i int, path, body string) (int, string) {
+	return newOperatorsLab(r.exp, r.sidecars, r.ledger, &history.Log{}).ask(method, i, path, body)
+}
+
+func (r *rig) pids(i int) (pids []int) {
+	r.sidecars.mu.Lock()
+	defer r.sidecars.mu.Unlock()
+	for _, l := range r.sidecars.procs[i].lives {
+		pids = append(pids, l.cmd.Process.Pid)
+	}
+	return pids
+}
+
+// state is a process's state by the system: R, S, T (stopped) ...
+func state(pid int) string {
+	stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if at := strings.LastIndexByte(string(stat), ')'); at > 0 {
+		return strings.Fields(string(stat)[at+2:])[0]
+	}
+	return ""
+}
+
+// Machines are killed, paused and replaced whole: with their disk a ban holds, on an empty one it is gone. Holds that
+// overlap end in any order, and a target already down stays so until the last is gone.
+func TestMachineFaults(t *testing.T) {
+	r := newRig(t, true, "")
+	banned := func(i int) string { _, text := r.ops(http.MethodGet, i, "/pin-servers", ""); return text }
+	for i := range 2 { // s0 on machine 0, s1 on machine 1
+		if status, text := r.ops(http.MethodPost, i, "/pin-servers/disable", "v001"); status != http.StatusOK {
+			t.Fatalf("ban: %d %s", status, text)
+		}
+	}
+	before := [][]int{r.pids(0), r.pids(1), r.pids(2)}
+	machine := r.fault(Fault{Kind: "machine-kill", Machines: []int{0}})
+	if len(r.pids(0))+len(r.pids(2)) != 0 || r.pids(1)[0] != before[1][0] {
+		t.Errorf("machine 0 killed: processes %v %v %v, before %v", r.pids(0), r.pids(1), r.pids(2), before)
+	}
+	again := r.fault(Fault{Kind: "kill", Sidecars: []int{0}}) // already down
+	paused := r.fault(Fault{Kind: "machine-pause", Machines: []int{0}})
+	machine()
+	if len(r.pids(0)) != 0 {
+		t.Error("a sidecar under another kill and a pause runs")
+	}
+	again()
+	if len(r.pids(0)) != 0 {
+		t.Error("a sidecar of a paused machine started")
+	}
+	paused()
+	if !strings.Contains(banned(0), "v001") {
+		t.Errorf("killed and back with its disk: %s", banned(0))
+	}
+	paused = r.fault(Fault{Kind: "pause", Sidecars: []int{0}})
+	r.await("a stopped process", func() bool { return state(r.pids(0)[0]) == "T" })
+	paused()
+	r.await("it to run on", func() bool { return state(r.pids(0)[0]) != "T" })
+	r.fault(Fault{Kind: "machine-replace", Machines: []int{0}})()
+	if text := banned(0); text == "" || strings.Contains(text, "v001") {
+		t.Errorf("replaced with an empty disk: %s", text)
+	}
+	if !strings.Contains(banned(1), "v001") {
+		t.Errorf("the other machine: %s", banned(1))
+	}
+	old := r.pids(1)
+	r.fault(Fault{Kind: "upgrade", Sidecars: []int{1}})
+	if now := r.pids(1); len(now) != 1 || now[0] == old[0] || !strings.Contains(banned(1), "v001") {
+		t.Errorf("upgraded: processes %v after %v, %s", now, old, banned(1))
+	}
+	r.fault(Fault{Kind: "term", Sidecars: []int{1}})
+	if len(r.pids(1)) != 0 {
+		t.Error("a sidecar that left for good runs")
+	}
+	if troubles := r.sidecars.Troubles(); len(troubles) > 0 {
+		t.Error(troubles)
+	}
+	if syscall.Kill(r.pids(3)[0], syscall.SIGKILL) != nil {
+		t.Fatal("kill")
+	}
+	r.await("the end by itself to be recorded", func() bool { return strings.Contains(strings.Join(r.sidecars.Troubles(), ""), "s3: ended by itself") })
+}
+
+// A full and a read-only disk refuse what a call must write, and a slow one makes saves wait; the sidecar lives on and
+// takes calls again afterwards.
+func TestDiskFaults(t *testing.T) {
+	r := newRig(t, true, "")
+	ban := func(id string) int {
+		status, _ := r.ops(http.MethodPost, 0, "/pin-servers/disable", id)
+		return status
+	}
+	for _, mode := range []string{"full", "readonly"} {
+		heal := r.fault(Fault{Kind: "disk", Mode: mode, Machines: []int{0}})
+		if status := ban("v000"); status != http.StatusServiceUnavailable {
+			t.Errorf("%s: a ban is answered %d", mode, status)
+		}
+		if status, _ := r.ops(http.MethodPost, 1, "/pin-servers/disable", "v000"); status != http.StatusOK {
+			t.Errorf("%s: on the other machine a ban is answered %d", mode, status)
+		}
+		heal()
+		if status := ban("v001"); status != http.StatusOK {
+			t.Errorf("%s healed: a ban is answered %d", mode, status)
+		}
+	}
+	file := filepath.Join(r.disks[0].state(), "s0.db")
+	saved := func() time.Time { info, err := os.Stat(file); r.fatal(err); return info.ModTime() }
+	heal := r.fault(Fault{Kind: "disk", Mode: "slow", Delay: Duration{time.Hour}, Machines: []int{0}})
+	r.await("a save to give up waiting", func() bool {
+		log, _ := os.ReadFile(filepath.Join(r.sidecars.folder, "s00.log"))
+		return strings.Contains(string(log[max(0, len(log)-20_000):]), "state: not saved")
+	})
+	last := saved()
+	if status := ban("v000"); status != http.StatusServiceUnavailable {
+		t.Errorf("slow: a ban that cannot be kept in time is answered %d", status)
+	}
+	heal()
+	r.await("the next save", func() bool { return saved().After(last) })
+}
+
+func (r *rig) fatal(err error) {
+	r.Helper()
+	if err != nil {
+		r.Fatal(err)
+	}
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -19,106 +19,63 @@
 
 // Run carries out an experiment: stand-ins and sidecars up, the load
 // and the schedule played, everything ended, and the result reckoned. The
-// folder receives the sidecars' configurations and logs. Run leaves no
+// folder receives the sidecars' configurations and logs, their machines'
+// disks and, with operators, history.jsonl. Run leaves no
 // process behind, also when ctx ends early.
 func Run(ctx context.Context, exp *Experiment, program, folder string, log *slog.Logger) (*Result, error) {
-	if err := os.MkdirAll(folder, 0o755); err != nil {
-		return nil, err
-	}
-	program, err := filepath.Abs(program)
+	w, err := newWorld(exp, program, folder, log)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := os.Stat(program); err != nil {
-		return nil, fmt.Errorf("sidecar: %w", err)
-	}
-	ledger := NewLedger()
-	ledger.arrivals = exp.Ops.on()
-	network, sub := NewNetwork(exp.Seed), newSubnet()
-	call := names{exp}
-	listener, err := network.Listen(call.discovery(), sub)
-	if err != nil {
-		return nil, fmt.Errorf("discovery: %w", err)
-	}
-	disco := NewDiscovery(exp.Seed, listener)
-	defer disco.Close()
-	servers := make([]*PinServer, exp.Fleet.Servers)
-	for i := range servers {
-		zone := exp.Fleet.Zones[i%len(exp.Fleet.Zones)]
-		listener, err := network.Listen(call.server(i), sub)
-		if err != nil {
-			return nil, fmt.Errorf("pin server %d: %w", i, err)
-		}
-		servers[i] = NewPinServer(serverName(i), zone, exp.Server, ledger, exp.Seed+uint64(i), listener)
-		defer servers[i].Close()
-		disco.Set(host(servers[i], "Ready"), nil)
-	}
-	var peers *Peers
-	if exp.Fleet.Peers {
-		if peers, err = NewPeers(exp.Fleet.Sidecars, network); err != nil {
-			return nil, err
-		}
-		defer peers.Close()
-	}
-	disks := make([]*disk, exp.machines())
-	for m := range disks {
-		if disks[m], err = newDisk(filepath.Join(folder, fmt.Sprintf("m%d", m))); err != nil {
-			return nil, err
-		}
-		defer disks[m].close()
-	}
-	sidecars := newSidecars(program, folder, exp, sub, disco, peers, disks, ledger, log)
-	defer sidecars.Stop()
+	defer w.close()
 	schedule := exp.Schedule()
 	for _, ev := range schedule {
 		for _, i := range ev.Fault.Sidecars {
-			if ev.Fault.Kind == "join" {
-				sidecars.hold(i, false)
+			if ev.Fault.Kind == "join" && !ev.Heal {
+				w.sidecars.hold(i, false)
 			}
 		}
 	}
-	if err := sidecars.startAll(); err != nil {
+	if err := w.sidecars.startAll(); err != nil {
 		return nil, err
 	}
-	log.Info("the fleet is up", "sidecars", exp.Fleet.Sidecars, "servers", exp.Fleet.Servers, "discovery", disco.Address())
-	ledger.start = time.Now() // the lab's clock starts with the load
-	late, told := newLateness(ledger), &history.Log{}
-	world := &world{exp: exp, network: network, disco: disco, servers: servers, sidecars: sidecars, ledger: ledger, history: told, log: log,
-		rules: map[int]func(){}, wiped: map[int]int64{}, blind: blinds{}}
+	log.Info("the fleet is up", "sidecars", exp.Fleet.Sidecars, "servers", exp.Fleet.Servers, "discovery", w.disco.Address())
+	w.ledger.start = time.Now() // the lab's clock starts with the load
+	late := newLateness(w.ledger)
 	runCtx, cancel := context.WithTimeout(ctx, exp.Duration.Duration+exp.Load.Deadline.Duration+10*time.Second)
 	defer cancel()
 	go late.watch(runCtx)
 	var played []Mark
 	done := make(chan struct{})
-	go func() { played = world.play(runCtx, schedule); close(done) }()
+	go func() { played = w.play(runCtx, schedule); close(done) }()
 	var load sync.WaitGroup
 	for i := range exp.Fleet.Sidecars {
 		load.Add(1)
 		go func() {
 			defer load.Done()
-			newClient(i, exp, ledger, sidecars, late).run(runCtx, exp.Arrivals(i))
+			newClient(i, exp, w.ledger, w.sidecars, late).run(runCtx, exp.Arrivals(i))
 		}()
 	}
 	if exp.Ops.on() {
 		load.Add(1)
-		go func() { defer load.Done(); newOperatorsLab(exp, sidecars, ledger, told).run(runCtx) }()
+		go func() { defer load.Done(); newOperatorsLab(exp, w.sidecars, w.ledger, w.history).run(runCtx) }()
 	}
 	load.Wait()
 	cancel()
 	<-done
 	var running []string
 	for i := range exp.Fleet.Sidecars {
-		if sidecars.Accepting(i) {
+		if w.sidecars.Accepting(i) {
 			running = append(running, sidecarName(i))
 		}
 	}
-	events := told.Events()
-	result := reckon(exp, ledger, late, world.blind, played, sidecars.Restarts(), events)
-	result.Broken, result.Troubles = check(exp, events, running), sidecars.Troubles()
-	result.SidecarCPUSeconds, result.SidecarMeanMB, result.SidecarPeakMB = sidecars.Cost()
+	events := w.history.Events()
+	result := reckon(exp, w.ledger, late, w.blind, played, w.sidecars.Restarts(), events)
+	result.Broken, result.Troubles = check(exp, events, running), w.sidecars.Troubles()
+	result.SidecarCPUSeconds, result.SidecarMeanMB, result.SidecarPeakMB = w.sidecars.Cost()
 	result.LabCPUSeconds, result.LabPeakMB = selfCost()
-	if peers != nil {
-		result.Datagrams.Relayed, result.Datagrams.Dropped, result.Datagrams.Oversize, result.Datagrams.Strange = peers.Counts()
+	if w.peers != nil {
+		result.Datagrams.Relayed, result.Datagrams.Dropped, result.Datagrams.Oversize, result.Datagrams.Strange = w.peers.Counts()
 	}
 	if exp.Ops.on() {
 		file, err := os.Create(filepath.Join(folder, "history.jsonl"))
@@ -132,6 +89,78 @@
 	return result, nil
 }
 
+// newWorld brings up all that an experiment needs but its sidecars, which the caller starts.
+func newWorld(exp *Experiment, program, folder string, log *slog.Logger) (w *world, err error) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, err
+	}
+	if folder, err = filepath.Abs(folder); err != nil {
+		return nil, err
+	}
+	if program, err = filepath.Abs(program); err != nil {
+		return nil, err
+	}
+	if _, err := os.Stat(program); err != nil {
+		return nil, fmt.Errorf("sidecar: %w", err)
+	}
+	w = &world{exp: exp, network: NewNetwork(exp.Seed), ledger: NewLedger(), history: &history.Log{}, log: log,
+		rules: map[int]func(){}, wiped: map[int]int64{}, blind: blinds{}}
+	defer func() {
+		if err != nil {
+			w.close()
+		}
+	}()
+	w.ledger.arrivals = exp.Ops.on()
+	sub, call := newSubnet(), names{exp}
+	listener, err := w.network.Listen(call.discovery(), sub)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	w.disco = NewDiscovery(exp.Seed, listener)
+	for i := range exp.Fleet.Servers {
+		listener, err := w.network.Listen(call.server(i), sub)
+		if err != nil {
+			return nil, fmt.Errorf("pin server %d: %w", i, err)
+		}
+		s := NewPinServer(serverName(i), exp.Fleet.Zones[i%len(exp.Fleet.Zones)], exp.Server, w.ledger, exp.Seed+uint64(i), listener)
+		w.servers = append(w.servers, s)
+		w.disco.Set(host(s, "Ready"), nil)
+	}
+	if exp.Fleet.Peers {
+		if w.peers, err = NewPeers(exp.Fleet.Sidecars, w.network); err != nil {
+			return nil, err
+		}
+	}
+	for m := range exp.machines() {
+		d, err := newDisk(filepath.Join(folder, fmt.Sprintf("m%d", m)))
+		if err != nil {
+			return nil, err
+		}
+		w.disks = append(w.disks, d)
+	}
+	w.sidecars = newSidecars(program, folder, exp, sub, w.disco, w.peers, w.disks, w.ledger, log)
+	return w, nil
+}
+
+// close ends everything, the sidecars first.
+func (w *world) close() {
+	if w.sidecars != nil {
+		w.sidecars.Stop()
+	}
+	for _, d := range w.disks {
+		d.close()
+	}
+	if w.peers != nil {
+		w.peers.Close()
+	}
+	for _, s := range w.servers {
+		s.Close()
+	}
+	if w.disco != nil {
+		w.disco.Close()
+	}
+}
+
 // startAll starts the fleet, all sidecars side by side.
 func (s *Sidecars) startAll() error {
 	var starting sync.WaitGroup
@@ -162,6 +191,8 @@
 	network  *Network
 	disco    *Discovery
 	servers  []*PinServer
+	peers    *Peers // nil without
+	disks    []*disk
 	sidecars *Sidecars
 	ledger   *Ledger
 	history  *history.Log
@@ -220,28 +251,33 @@
 		}
 		at := w.ledger.micros()
 		w.history.Add(history.Event{Kind: history.Fault, Op: ev.Label(), Call: at, Return: at})
-		if rule, _ := (names{w.exp}).rule(ev.Fault); rule != nil { // at once and in order: ends find their begins
-			w.link(ev, rule)
-			continue
-		}
-		before := begun[ev.ID]
-		ended := make(chan struct{})
-		if !ev.Heal {
-			begun[ev.ID] = ended
-		}
-		acting.Add(1)
-		go func() { // a slow kill or start holds up no other event, but for its own end
-			defer acting.Done()
-			defer close(ended)
-			if ev.Heal {
-				<-before
-			}
-			w.act(ev)
-		}()
+		w.do(ev, begun, &acting)
 	}
 	return marks
 }
 
+// do begins or ends a fault: links at once and in order; sidecars, machines
+// and servers beside other events, which a slow kill or start must not hold up, but not before the fault's own begin is done.
+func (w *world) do(ev Event, begun map[int]chan struct{}, acting *sync.WaitGroup) {
+	if rule, _ := (names{w.exp}).rule(ev.Fault); rule != nil {
+		w.link(ev, rule)
+		return
+	}
+	before, done := begun[ev.ID], make(chan struct{})
+	if !ev.Heal {
+		begun[ev.ID] = done
+	}
+	acting.Add(1)
+	go func() {
+		defer acting.Done()
+		defer close(done)
+		if ev.Heal {
+			<-before
+		}
+		w.act(ev)
+	}()
+}
+
 // link puts the rule of a fault on, or takes it off.
 func (w *world) link(ev Event, rule *Rule) {
 	if ev.Heal {
@@ -327,7 +363,7 @@
 			mine = append(mine, i)
 		}
 	}
-	d := w.sidecars.disks[m]
+	d := w.disks[m]
 	trouble := func(err error) {
 		if err != nil {
 			w.sidecars.trouble(mine[0], "machine %d: the lab's disk: %v", m, err)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -21,10 +21,13 @@
 func TestMain(m *testing.M) {
 	folder, err := os.MkdirTemp("", "lab")
 	if err == nil {
-		out, buildErr := exec.Command("go", "build", "-o", folder, "peatpost/cmd/pinedale", "peatpost/cmd/bramblelab").CombinedOutput()
-		if buildErr != nil {
-			os.Stderr.Write(out)
-			err = buildErr
+		for _, build := range [][]string{{"-o", folder, "peatpost/cmd/pinedale", "peatpost/cmd/bramblelab"},
+			{"-o", folder, "./testdata/twoholders"},
+			{"-tags", "wrong_forgets_bans", "-o", filepath.Join(folder, "forgetsbans"), "peatpost/cmd/pinedale"}} {
+			if out, buildErr := exec.Command("go", append([]string{"build"}, build...)...).CombinedOutput(); buildErr != nil {
+				os.Stderr.Write(out)
+				err = buildErr
+			}
 		}
 	}
 	if err != nil {
@@ -132,7 +135,7 @@
 	good := "duration = \"5s\"\n[fleet]\nsidecars = 2\nservers = 2\n[load]\nrate = 5\n"
 	for text, field := range map[string]string{
 		good + "colour = 1\n": "colour",
-		strings.Replace(good, "sidecars = 2", "sidecars = 999", 1):       "fleet.sidecars",
+		strings.Replace(good, "sidecars = 2", "sidecars = 999", 1):      "fleet.sidecars",
 		strings.Replace(good, `"5s"`, `"five"`, 1):                      "duration",
 		good + "[[fault]]\nat = \"1s\"\nkind = \"kill\"\n":              "fault[0].sidecars",
 		good + "[[fault]]\nat = \"1s\"\nkind = \"melt\"\n":              "fault[0].kind",
--- a/internal/lab/machines.go
+++ b/internal/lab/machines.go
@@ -163,8 +163,14 @@
 			if err != nil {
 				continue
 			}
-			if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
-				f.Close() // a save has it: it waits the next time
+			for try := 0; ; try++ { // a save that has it is soon done
+				if err = unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err == nil || try == 500 {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			if err != nil {
+				f.Close()
 				continue
 			}
 			held = append(held, f)
--- a/internal/sidecar/durable.go
+++ b/internal/sidecar/durable.go
@@ -125,6 +125,25 @@
 	}
 }
 
+// keepOrders has what operators ordered on disk, with all else that is kept, when it returns nil.
+func (l *loop) keepOrders(orders shared) error {
+	if l.keeper == nil {
+		return nil
+	}
+	var s *state.Snapshot
+	if err := l.urge(func(now balancer.Micros) { s = l.snapshot(now) }); err != nil {
+		return err
+	}
+	order(s, orders)
+	_, err := state.Save(l.cfg.StateDir, s)
+	return err
+}
+
+// order puts what operators ordered into a snapshot.
+func order(s *state.Snapshot, orders shared) {
+	s.OpsSeq, s.Banned, s.Drained = orders.Seq, orders.Banned, orders.Drained
+}
+
 // snapshot is what the loop knows now that is worth keeping.
 func (l *loop) snapshot(now balancer.Micros) *state.Snapshot {
 	s := &state.Snapshot{Name: l.cfg.Name, Written: l.listedAt, Whole: true, Drained: l.drained()}
@@ -137,10 +156,14 @@
 		}
 	}
 	sort.Slice(s.Hosts, func(i, j int) bool { return s.Hosts[i].Name < s.Hosts[j].Name })
-	for id := range l.banned {
-		s.Banned = append(s.Banned, l.names[id])
+	if l.orders != nil {
+		order(s, *l.orders())
+	} else { // no operators here; those of an earlier process hold
+		for id := range l.banned {
+			s.Banned = append(s.Banned, l.names[id])
+		}
+		sort.Strings(s.Banned)
 	}
-	sort.Strings(s.Banned)
 	for _, k := range l.balancer.Keep(now) {
 		s.Servers = append(s.Servers, state.Server{Host: l.names[k.ID], Base: k.Base, Current: k.Current, Pace: k.Pace, Errs: k.Errs})
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -68,6 +68,7 @@
 	peers    *peers                         // nil where there are none to talk to
 	keeper   *keeper                        // nil where no state is kept
 	kept     *state.Snapshot                // what an earlier process kept, until the start
+	orders   func() *shared                 // what operators ordered; nil without operators
 	drained  func() bool                    // the sidecar sends its clients away
 	listedAt time.Time                      // wall clock when discovery last told the list
 
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -91,12 +91,15 @@
 		s.store = openStore(os.TempDir(), cfg.Name, log)
 		defer s.store.close()
 		paired = s.store.paired()
-		if kept := l.kept; kept != nil && s.store.look().Seq == 0 && (len(kept.Banned) > 0 || kept.Drained) {
-			// The shared file lives in memory and died with the machine; what was kept on disk is the truth.
-			if _, err := s.store.update(func(st *shared) { st.Banned, st.Drained = kept.Banned, kept.Drained }); err != nil {
+		if kept := l.kept; kept != nil {
+			if err := s.store.recall(shared{Seq: kept.OpsSeq, Banned: kept.Banned, Drained: kept.Drained}); err != nil {
 				log.Error("state: the kept bans and drain are not shared with a next process", "error", err)
 			}
 		}
+		if forgetsBans {
+			s.store.update(func(st *shared) { st.Banned = nil }, func(shared) error { return nil })
+		}
+		l.orders = s.store.known.Load
 		go l.run()
 		if err := s.apply(s.store.look(), paired); err != nil {
 			return err
@@ -199,7 +202,6 @@
 	}
 	s.applied = state.Seq
 	s.setDrained(state.Drained)
-	s.loop.post(s.loop.keep) // bans and drain must outlive a crash: kept at once
 	return nil
 }
 
@@ -253,9 +255,10 @@
 	s.incoming.bound(heap / bodiesPart)
 }
 
-// change alters what is shared, for this process and the other.
+// change alters what is shared, for this process and the other. Where state is kept, the change is on disk before it
+// holds anywhere: a yes must outlive the machine's power.
 func (s *server) change(alter func(*shared)) error {
-	state, err := s.store.update(alter)
+	state, err := s.store.update(alter, s.loop.keepOrders)
 	if err != nil {
 		return fmt.Errorf("state file: %w", err)
 	}
--- a/internal/sidecar/store.go
+++ b/internal/sidecar/store.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -46,6 +47,8 @@
 	lock *os.File    // nil where it could not be opened
 	last shared      // last good state
 	file os.FileInfo // as last read; nil before
+
+	known atomic.Pointer[shared] // last, for who must not wait for mu
 }
 
 var errNoStore = errors.New("the state file's folder cannot be used")
@@ -54,6 +57,7 @@
 // calls that change something, not the service.
 func openStore(dir, name string, log *slog.Logger) *store {
 	s := &store{path: filepath.Join(dir, "pinedale-"+url.PathEscape(name)+".json"), log: log}
+	s.known.Store(&shared{})
 	var err error
 	if s.lock, err = os.OpenFile(s.path+".lock", os.O_RDWR|os.O_CREATE, 0o600); err != nil {
 		log.Error("state file: no lock; calls that change something are answered no", "error", err)
@@ -126,8 +130,44 @@
 		return
 	}
 	if next.Seq >= s.last.Seq {
-		s.last = next
+		s.set(next)
+	}
+}
+
+// set takes a state for the last good one. It holds s.mu.
+func (s *store) set(state shared) {
+	s.last = state
+	s.known.Store(&state)
+}
+
+// recall takes in what was kept on disk, where it is newer than the file: the file lives in memory and may have died
+// with the machine. What was kept holds for this process also where the file cannot be written.
+func (s *store) recall(kept shared) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.read()
+	if kept.Seq < s.last.Seq || kept.Seq == s.last.Seq && (kept.Seq > 0 || len(kept.Banned) == 0 && !kept.Drained) {
+		return nil
+	}
+	kept.Version, kept.Seq = sharedVersion, max(kept.Seq, 1) // a snapshot of an earlier release has no number
+	s.set(kept)
+	return s.write(kept)
+}
+
+// write puts a state into the file. It holds s.mu.
+func (s *store) write(state shared) error {
+	data, err := json.Marshal(state)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(s.path+".new", data, 0o600); err != nil {
+		return err
 	}
+	if err := os.Rename(s.path+".new", s.path); err != nil {
+		return err
+	}
+	s.file, _ = os.Stat(s.path) // it is looked at again if that failed
+	return nil
 }
 
 func readShared(path string, size int64) (shared, error) {
@@ -150,8 +190,9 @@
 	return state, nil
 }
 
-// update changes the state for both processes, and returns the new one.
-func (s *store) update(alter func(*shared)) (shared, error) {
+// update changes the state for both processes, and returns the new one. Before anybody learns of it, keep must have
+// put it where it outlives this machine's power, if that is to be.
+func (s *store) update(alter func(*shared), keep func(shared) error) (shared, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lock == nil {
@@ -172,17 +213,12 @@
 	next.Banned = append([]string(nil), s.last.Banned...)
 	alter(&next)
 	next.Version, next.Seq = sharedVersion, s.last.Seq+1
-	data, err := json.Marshal(next)
-	if err != nil {
-		return s.last, err
-	}
-	if err := os.WriteFile(s.path+".new", data, 0o600); err != nil {
+	if err := keep(next); err != nil {
 		return s.last, err
 	}
-	if err := os.Rename(s.path+".new", s.path); err != nil {
+	if err := s.write(next); err != nil {
 		return s.last, err
 	}
-	s.last = next
-	s.file, _ = os.Stat(s.path) // it is looked at again if that failed
+	s.set(next)
 	return next, nil
 }
--- a/internal/sidecar/store_test.go
+++ b/internal/sidecar/store_test.go
@@ -21,10 +21,10 @@
 	if openStore(dir, "n1", slog.New(slog.DiscardHandler)).paired() {
 		t.Error("another sidecar's processes are taken for its own")
 	}
-	if _, err := a.update(func(s *shared) { s.Drained = true }); err != nil {
+	if _, err := a.update(func(s *shared) { s.Drained = true }, unkept); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := b.update(func(s *shared) { s.Banned = []string{"s-1"} }); err != nil {
+	if _, err := b.update(func(s *shared) { s.Banned = []string{"s-1"} }, unkept); err != nil {
 		t.Fatal(err)
 	}
 	want := shared{Version: sharedVersion, Seq: 2, Drained: true, Banned: []string{"s-1"}}
@@ -50,7 +50,7 @@
 	} {
 		var log strings.Builder
 		s := openStore(t.TempDir(), "n0", slog.New(slog.NewTextHandler(&log, nil)))
-		before, err := s.update(func(s *shared) { s.Banned = []string{"s-1"} })
+		before, err := s.update(func(s *shared) { s.Banned = []string{"s-1"} }, unkept)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -66,7 +66,7 @@
 		if n := strings.Count(log.String(), "state file"); n != 1 {
 			t.Errorf("%s: logged %d times, want once: %s", name, n, log.String())
 		}
-		if got, err := s.update(func(s *shared) { s.Drained = true }); err != nil || len(got.Banned) != 1 {
+		if got, err := s.update(func(s *shared) { s.Drained = true }, unkept); err != nil || len(got.Banned) != 1 {
 			t.Errorf("%s: a change after it: %+v, %v", name, got, err)
 		}
 	}
@@ -75,7 +75,7 @@
 func TestStoreThatCannotBeWritten(t *testing.T) {
 	missing := t.TempDir() + "/none"
 	s := openStore(missing, "n0", slog.New(slog.DiscardHandler))
-	if _, err := s.update(func(s *shared) { s.Drained = true }); err == nil || s.look().Drained {
+	if _, err := s.update(func(s *shared) { s.Drained = true }, unkept); err == nil || s.look().Drained {
 		t.Errorf("a change that was not written: %v, %+v; want an error and no change", err, s.look())
 	}
 	dir := t.TempDir()
@@ -83,7 +83,10 @@
 	if err := os.Mkdir(s.path+".new", 0o700); err != nil { // root may write anywhere, but not over a folder
 		t.Fatal(err)
 	}
-	if _, err := s.update(func(s *shared) { s.Drained = true }); err == nil || s.look().Drained {
+	if _, err := s.update(func(s *shared) { s.Drained = true }, unkept); err == nil || s.look().Drained {
 		t.Errorf("a change that was not written: %v, %+v; want an error and no change", err, s.look())
 	}
 }
+
+// unkept is for changes of a sidecar that keeps no state.
+func unkept(shared) error { return nil }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -89,13 +89,21 @@
 	Seq     uint64    `json:"seq"` // of the list
 	Whole   bool      `json:"whole"`
 	Hosts   []Host    `json:"hosts"`
-	Banned  []string  `json:"banned"` // host names, out of use by hand
+	OpsSeq  uint64    `json:"ops_seq"` // of what operators ordered: of two records the one with the larger stands
+	Banned  []string  `json:"banned"`  // host names, out of use by hand
 	Drained bool      `json:"drained"`
 	Servers []Server  `json:"servers"`
 	Epoch   uint64    `json:"epoch"` // of the lease last held; issue 13
 	Stage   string    `json:"stage"` // of the release; issue 15
 }
 
+// opsRecord is the body of the record of operators' orders.
+type opsRecord struct {
+	OpsSeq  uint64   `json:"ops_seq"`
+	Banned  []string `json:"banned"`
+	Drained bool     `json:"drained"`
+}
+
 // Written is what one Save cost.
 type Written struct {
 	Records int
@@ -122,7 +130,8 @@
 
 // Save writes s as one transaction, fsynced before it returns. The earlier
 // snapshot stays whole where it fails: disk full, a read-only folder, a lock
-// that the other process holds past LockWait.
+// that the other process holds past LockWait. Orders of operators never go
+// back: where the file has some of a larger OpsSeq, they stay.
 func Save(dir string, s *Snapshot) (Written, error) {
 	var w Written
 	db, err := bolt.Open(Path(dir, s.Name), 0o600, &bolt.Options{Timeout: LockWait, NoFreelistSync: true})
@@ -131,6 +140,13 @@
 	}
 	defer db.Close()
 	err = db.Update(func(tx *bolt.Tx) error {
+		ops := opsRecord{s.OpsSeq, s.Banned, s.Drained}
+		if old := tx.Bucket(topBucket); old != nil {
+			var had opsRecord
+			if Decode(old.Get(keyOps), kindOps, &had) == nil && had.OpsSeq > ops.OpsSeq {
+				ops = had
+			}
+		}
 		tx.DeleteBucket(topBucket)
 		top, err := tx.CreateBucket(topBucket)
 		if err != nil {
@@ -155,10 +171,6 @@
 			Whole bool   `json:"whole"`
 			Hosts []Host `json:"hosts"`
 		}{s.Seq, s.Whole, s.Hosts}
-		ops := struct {
-			Banned  []string `json:"banned"`
-			Drained bool     `json:"drained"`
-		}{s.Banned, s.Drained}
 		fleet := struct {
 			Epoch uint64 `json:"epoch"`
 			Stage string `json:"stage"`
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -297,3 +297,16 @@
 		})
 	}
 }
+
+// Of two processes the one that knows an older order of the operators' does not undo the newer.
+func TestOrdersNeverGoBack(t *testing.T) {
+	dir := t.TempDir()
+	for _, s := range []*Snapshot{{Name: "n0", OpsSeq: 2, Banned: []string{"v1"}, Drained: true}, {Name: "n0", OpsSeq: 1, Seq: 9}} {
+		if _, err := Save(dir, s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s, err := Load(dir, "n0"); err != nil || s.Seq != 9 || s.OpsSeq != 2 || !s.Drained || len(s.Banned) != 1 {
+		t.Errorf("%+v, %v", s, err)
+	}
+}
