Search for fault schedules that break a rule, and shrink them; repeat and compare runs

Change: bramblelab search (seeds, time bound, Ctrl-C, progress with the time left, shrinking by running again), run -repeat with figures as distributions (hdrhistogram), compare of two results with what is within the spread marked.

--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -1,15 +1,19 @@
 // Command bramblelab runs experiments on many real sidecars with stand-in pin
 // servers, stand-in discovery and faults between them.
 //
-//	bramblelab run [-out DIR] [-sidecar PATH] EXPERIMENT.toml   writes DIR/result.json, DIR/plot.png, DIR/logs/
-//	bramblelab report [-plot FILE] RESULT.json                    prints a result, and plots it again
+//	bramblelab run [-out DIR] [-sidecar PATH] [-repeat N] EXPERIMENT.toml   writes DIR/result.json, DIR/plot.png, DIR/logs/
+//	bramblelab search [-seeds N] [-for D] EXPERIMENT.toml                     draws faults, keeps and shrinks what breaks a rule
+//	bramblelab report [-plot FILE] RESULT.json                                prints a result, and plots it again
+//	bramblelab compare A.json B.json                                          two results, or repeats, side by side
 //
-// run exits 1 on a bad experiment or a failed start, and 3 when the result
-// breaks a rule (lost, forged, run twice, sent after a drain).
+// run and search exit 1 on a bad experiment or a failed start, and 3 when a
+// rule was broken (lost, forged, run twice, sent after a drain or a ban, a
+// promise that the history breaks).
 package main
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -17,14 +21,17 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 
 	"peatpost/internal/lab"
 )
 
 const usage = `usage:
-  bramblelab run [-out DIR] [-sidecar PATH] EXPERIMENT.toml
-  bramblelab report [-plot FILE] RESULT.json`
+  bramblelab run [-out DIR] [-sidecar PATH] [-state on|off] [-repeat N] EXPERIMENT.toml
+  bramblelab search [-out DIR] [-sidecar PATH] [-seeds N] [-first SEED] [-for D] [-parallel P] [-tries K] [-stop N] [-kinds K,K] EXPERIMENT.toml
+  bramblelab report [-plot FILE] RESULT.json
+  bramblelab compare A.json B.json`
 
 func main() {
 	if len(os.Args) < 2 {
@@ -35,8 +42,12 @@
 	switch os.Args[1] {
 	case "run":
 		err = run(os.Args[2:])
+	case "search":
+		err = search(os.Args[2:])
 	case "report":
 		err = report(os.Args[2:])
+	case "compare":
+		err = compare(os.Args[2:])
 	default:
 		err = fmt.Errorf("%q is not a subcommand\n%s", os.Args[1], usage)
 	}
@@ -55,28 +66,35 @@
 
 func (b breachError) Error() string { return fmt.Sprintf("%d breaches of the rules", int(b)) }
 
+// load reads an experiment; program, where not empty, overrides its sidecar.
+func load(flags *flag.FlagSet, program string) (*lab.Experiment, error) {
+	if flags.NArg() != 1 {
+		return nil, fmt.Errorf("%s takes one experiment file\n%s", flags.Name(), usage)
+	}
+	text, err := os.ReadFile(flags.Arg(0))
+	if err != nil {
+		return nil, err
+	}
+	exp, err := lab.Parse(flags.Arg(0), text)
+	if err == nil && program != "" {
+		exp.Sidecar = program
+	}
+	return exp, err
+}
+
 func run(args []string) error {
 	flags := flag.NewFlagSet("run", flag.ContinueOnError)
 	out := flags.String("out", "lab-out", "folder for the result, the plot and the logs")
 	program := flags.String("sidecar", "", "the sidecar's program; overrides the experiment's")
 	keep := flags.String("state", "", `"on" or "off": whether sidecars keep state; overrides the experiment's fleet.state`)
+	repeat := flags.Int("repeat", 1, "runs, with seeds in a row; figures as distributions in DIR/repeat.json")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
-	if flags.NArg() != 1 {
-		return fmt.Errorf("run takes one experiment file\n%s", usage)
-	}
-	text, err := os.ReadFile(flags.Arg(0))
+	exp, err := load(flags, *program)
 	if err != nil {
 		return err
 	}
-	exp, err := lab.Parse(flags.Arg(0), text)
-	if err != nil {
-		return err
-	}
-	if *program != "" {
-		exp.Sidecar = *program
-	}
 	switch *keep {
 	case "":
 	case "on", "off":
@@ -84,42 +102,138 @@
 	default:
 		return fmt.Errorf("-state: %q is neither on nor off", *keep)
 	}
-	logs := filepath.Join(*out, "logs")
+	if *repeat < 1 || *repeat > 1000 {
+		return fmt.Errorf("-repeat: %d is not within 1 to 1000", *repeat)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	var results []*lab.Result
+	breaches := 0
+	for n := range *repeat {
+		if ctx.Err() != nil {
+			break // with what it has
+		}
+		one, folder := *exp, *out
+		if *repeat > 1 {
+			one.Seed += uint64(n)
+			folder = filepath.Join(*out, fmt.Sprintf("run-%d", n))
+		}
+		result, err := once(ctx, &one, folder)
+		if err != nil {
+			return err
+		}
+		if ctx.Err() != nil && n > 0 {
+			break // cut short
+		}
+		results = append(results, result)
+		breaches += result.Breaches()
+		if *repeat > 1 {
+			fmt.Fprintf(os.Stderr, "run %d of %d, seed %d: %d breaches\n", n+1, *repeat, one.Seed, result.Breaches())
+		}
+	}
+	if *repeat > 1 && len(results) > 0 {
+		repeated := lab.Repeat(results)
+		if err := writeJSON(filepath.Join(*out, "repeat.json"), repeated); err != nil {
+			return err
+		}
+		fmt.Print(repeated.Table())
+	} else if len(results) > 0 {
+		fmt.Print(results[0].Summary())
+	}
+	if breaches > 0 {
+		return breachError(breaches)
+	}
+	return nil
+}
+
+// once runs an experiment and writes all that it gives into folder.
+func once(ctx context.Context, exp *lab.Experiment, folder string) (*lab.Result, error) {
+	logs := filepath.Join(folder, "logs")
+	result, err := play(ctx, exp, logs)
+	if err != nil {
+		return nil, err
+	}
+	if err := lab.MergeLogs(logs, filepath.Join(folder, "merged.jsonl")); err != nil {
+		return nil, err
+	}
+	if err := writeJSON(filepath.Join(folder, "result.json"), result); err != nil {
+		return nil, err
+	}
+	return result, result.Plot(filepath.Join(folder, "plot.png"))
+}
+
+// play runs an experiment, its own log beside the sidecars'.
+func play(ctx context.Context, exp *lab.Experiment, logs string) (*lab.Result, error) {
 	if err := os.MkdirAll(logs, 0o755); err != nil {
-		return err
+		return nil, err
 	}
 	labLog, err := os.Create(filepath.Join(logs, "lab.log"))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer labLog.Close()
-	log := slog.New(slog.NewJSONHandler(labLog, nil)).With("lab", exp.Name)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	result, err := lab.Run(ctx, exp, exp.Sidecar, logs, log)
+	return lab.Run(ctx, exp, exp.Sidecar, logs, slog.New(slog.NewJSONHandler(labLog, nil)).With("lab", exp.Name))
+}
+
+func writeJSON(path string, v any) error {
+	text, err := json.MarshalIndent(v, "", " ")
 	if err != nil {
 		return err
 	}
-	if err := lab.MergeLogs(logs, filepath.Join(*out, "merged.jsonl")); err != nil {
+	return os.WriteFile(path, append(text, '\n'), 0o644)
+}
+
+func search(args []string) error {
+	flags := flag.NewFlagSet("search", flag.ContinueOnError)
+	out := flags.String("out", "lab-out", "folder for search.json and, by seed, what broke a rule")
+	program := flags.String("sidecar", "", "the sidecar's program; overrides the experiment's")
+	var o lab.SearchOptions
+	flags.IntVar(&o.Seeds, "seeds", 20, "schedules to draw")
+	flags.Uint64Var(&o.First, "first", 1, "the first seed")
+	flags.DurationVar(&o.For, "for", 0, "no run begins later than this; 0 for no such bound")
+	flags.IntVar(&o.Parallel, "parallel", 3, "runs at a time")
+	flags.Func("kinds", "kinds of faults to draw, by commas; default all that the experiment allows", func(text string) error {
+		o.Kinds = strings.Split(text, ",")
+		return nil
+	})
+	flags.IntVar(&o.Stop, "stop", 0, "findings after which no more seeds are played; 0 for no such bound")
+	flags.IntVar(&o.Tries, "tries", 2, "runs of a smaller schedule, one of which must break the same rule")
+	if err := flags.Parse(args); err != nil {
 		return err
 	}
-	file, err := os.Create(filepath.Join(*out, "result.json"))
+	exp, err := load(flags, *program)
 	if err != nil {
 		return err
 	}
-	if err := result.Write(file); err != nil {
-		return err
+	if o.Seeds < 1 || o.Seeds > 100_000 || o.Parallel < 1 || o.Parallel > 64 || o.Tries < 1 {
+		return fmt.Errorf("-seeds %d, -parallel %d or -tries %d is out of range", o.Seeds, o.Parallel, o.Tries)
 	}
-	if err := file.Close(); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	report, err := lab.Search(ctx, exp, o, play, *out, func(line string) { fmt.Fprintln(os.Stderr, line) })
+	if err != nil {
 		return err
 	}
-	if err := result.Plot(filepath.Join(*out, "plot.png")); err != nil {
+	fmt.Print(report.Summary())
+	if n := len(report.Findings); n > 0 {
+		return breachError(n)
+	}
+	return nil
+}
+
+func compare(args []string) error {
+	if len(args) != 2 {
+		return fmt.Errorf("compare takes two result files\n%s", usage)
+	}
+	a, err := lab.ReadRepeated(args[0])
+	if err != nil {
 		return err
 	}
-	fmt.Print(result.Summary())
-	if n := result.Breaches(); n > 0 {
-		return breachError(n)
+	b, err := lab.ReadRepeated(args[1])
+	if err != nil {
+		return err
 	}
+	fmt.Print(lab.Compare(a, b))
 	return nil
 }
 
--- /dev/null
+++ b/internal/lab/compare.go
@@ -0,0 +1,166 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Repeated is the figures of several runs of one experiment, with seeds in a row.
+type Repeated struct {
+	Format  int               `json:"format"`
+	Name    string            `json:"name"`
+	Runs    int               `json:"runs"`
+	Seeds   []uint64          `json:"seeds"`
+	Figures map[string]Spread `json:"figures"`
+	Late    int               `json:"late_runs"` // in which the lab itself was short of CPU
+}
+
+// Spread is one figure over runs.
+type Spread struct {
+	Min float64 `json:"min"`
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Figures are the numbers of a result worth comparing: counts, milliseconds
+// (_ms), seconds (_s) and megabytes (_mb).
+func (r *Result) Figures() map[string]float64 {
+	f := map[string]float64{"requests": float64(r.Requests), "breaches": float64(r.Breaches()), "copies": float64(r.Copies),
+		"p50_ms": r.Latency.P50, "p99_ms": r.Latency.P99, "p99.9_ms": r.Latency.P999, "max_ms": r.Latency.Max,
+		"sidecar_cpu_s": r.SidecarCPUSeconds, "sidecar_mean_mb": r.SidecarMeanMB, "sidecar_peak_mb": r.SidecarPeakMB,
+		"lab_cpu_s": r.LabCPUSeconds, "lab_mb": r.LabPeakMB, "datagrams": float64(r.Datagrams.Relayed)}
+	for _, o := range []Outcome{Served, Late, Refused, Failed, Unreached, Cut, Lost, Excused} {
+		f[string(o)] = float64(r.Outcomes[o])
+	}
+	if r.Format > 0 {
+		f["lab_late_p99_ms"] = r.Lateness.Timers.P99
+	}
+	for _, s := range r.Restarts {
+		f["restart_ready_ms"] = max(f["restart_ready_ms"], s.ReadyMs)
+	}
+	return f
+}
+
+// Repeat sums up runs of one experiment. It needs one at least.
+func Repeat(results []*Result) *Repeated {
+	r := &Repeated{Format: resultFormat, Name: results[0].Name, Runs: len(results), Figures: map[string]Spread{}}
+	values := map[string]*hdrhistogram.Histogram{}
+	for _, result := range results {
+		r.Seeds = append(r.Seeds, result.Seed)
+		if result.Lateness.Late {
+			r.Late++
+		}
+		for name, v := range result.Figures() {
+			if values[name] == nil {
+				values[name] = hdrhistogram.New(1, 1_000_000_000_000, 4) // thousandths
+			}
+			values[name].RecordValue(int64(math.Round(v * 1000)))
+		}
+	}
+	for name, h := range values {
+		at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		r.Figures[name] = Spread{Min: float64(h.Min()) / 1000, P50: at(50), P99: at(99), Max: float64(h.Max()) / 1000}
+	}
+	return r
+}
+
+// ReadRepeated reads what run -repeat wrote, or the result of one run; errors name the file.
+func ReadRepeated(path string) (*Repeated, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var r Repeated
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if r.Format > resultFormat {
+		return nil, fmt.Errorf("%s: format %d; this program reads up to %d", path, r.Format, resultFormat)
+	}
+	if r.Runs > 0 {
+		return &r, nil
+	}
+	one, err := ReadResult(path)
+	if err != nil {
+		return nil, err
+	}
+	if one.Name == "" && one.Requests == 0 {
+		return nil, fmt.Errorf("%s: neither a result nor a repeat", path)
+	}
+	return Repeat([]*Result{one}), nil
+}
+
+// Table is the figures of several runs, one a line.
+func (r *Repeated) Table() string {
+	var text strings.Builder
+	w := tabwriter.NewWriter(&text, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(w, "%s, %d runs\tmin\tp50\tp99\tmax\t\n", r.Name, r.Runs)
+	for _, name := range figureNames(r.Figures, nil) {
+		s := r.Figures[name]
+		fmt.Fprintf(w, "%s\t%.4g\t%.4g\t%.4g\t%.4g\t\n", name, s.Min, s.P50, s.P99, s.Max)
+	}
+	w.Flush()
+	if r.Late > 0 {
+		fmt.Fprintf(&text, "the lab itself ran late in %d of %d runs\n", r.Late, r.Runs)
+	}
+	return text.String()
+}
+
+// Compare is a side-by-side table: medians, b less a, b over a. Where the
+// ranges of the two meet the line says so: the difference is within the spread. Where
+// either is one run there is no spread to tell by.
+func Compare(a, b *Repeated) string {
+	var text strings.Builder
+	w := tabwriter.NewWriter(&text, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "figure\ta: %s x%d\tb: %s x%d\tb-a\tb/a\t\n", a.Name, a.Runs, b.Name, b.Runs)
+	for _, name := range figureNames(a.Figures, b.Figures) {
+		x, inA := a.Figures[name]
+		y, inB := b.Figures[name]
+		if !inA || !inB {
+			fmt.Fprintf(w, "%s\t%s\t%s\t\t\tin one alone\n", name, have(x, inA), have(y, inB))
+			continue
+		}
+		ratio, note := "", ""
+		if x.P50 != 0 {
+			ratio = fmt.Sprintf("%.3f", y.P50/x.P50)
+		}
+		switch {
+		case a.Runs < 2 || b.Runs < 2:
+			note = "one run: no spread known"
+		case x.Min <= y.Max && y.Min <= x.Max:
+			note = "within the spread"
+		}
+		fmt.Fprintf(w, "%s\t%.4g\t%.4g\t%+.4g\t%s\t%s\n", name, x.P50, y.P50, y.P50-x.P50, ratio, note)
+	}
+	w.Flush()
+	return text.String()
+}
+
+func have(s Spread, is bool) string {
+	if !is {
+		return "-"
+	}
+	return fmt.Sprintf("%.4g", s.P50)
+}
+
+func figureNames(a, b map[string]Spread) []string {
+	var names []string
+	for name := range a {
+		names = append(names, name)
+	}
+	for name := range b {
+		if _, both := a[name]; !both {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"image/color"
-	"io"
 	"os"
 	"slices"
 	"sort"
@@ -92,7 +91,7 @@
 		r.Datagrams.Oversize + len(r.Broken) + len(r.Troubles)
 }
 
-// resultFormat is the version of what Write writes. 1: links, machines, operators' calls, histories, lateness.
+// resultFormat is the version of a result's JSON. 1: links, machines, operators' calls, histories, lateness.
 const resultFormat = 1
 
 // graceMost is how long after a drain was told, or a ban answered yes, something may still arrive at a server.
@@ -283,14 +282,7 @@
 	return seconds(usage.Utime) + seconds(usage.Stime), float64(usage.Maxrss) / 1024
 }
 
-// Write writes the result as indented JSON.
-func (r *Result) Write(w io.Writer) error {
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", " ")
-	return encoder.Encode(r)
-}
-
-// ReadResult reads a result written by Write; errors name the file.
+// ReadResult reads a result written as JSON; errors name the file.
 func ReadResult(path string) (*Result, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
