--- a/cmd/bramblelab/main_test.go
+++ b/cmd/bramblelab/main_test.go
@@ -43,6 +43,10 @@
 	if png, err := os.ReadFile(plot); err != nil || !bytes.HasPrefix(png, []byte("\x89PNG")) {
 		t.Errorf("the plot drawn again: %v", err)
 	}
+	code, out = invoke(t, "compare", "../../docs/lab/fleet50-result.json", "../../docs/lab/fleet50-peers-result.json")
+	if code != 0 || !strings.Contains(out, "served") || !strings.Contains(out, "one run: no spread known") {
+		t.Errorf("compare: %d, %q", code, out)
+	}
 	bad := filepath.Join(t.TempDir(), "bad.toml")
 	os.WriteFile(bad, []byte("duration = \"5s\"\n[fleet]\nsidecars = 0\n"), 0o600)
 	for _, c := range []struct {
@@ -53,6 +57,9 @@
 		{[]string{"fly"}, 1, "not a subcommand"},
 		{[]string{"run", bad}, 1, "fleet.sidecars"},
 		{[]string{"report", "nowhere.json"}, 1, "nowhere.json"},
+		{[]string{"compare", "../../docs/lab/fleet50-result.json", bad}, 1, "bad.toml"},
+		{[]string{"search", "-kinds", "melt", "../../lab/search.toml"}, 1, "melt"},
+		{[]string{"run", "-repeat", "0", "../../lab/search.toml"}, 1, "-repeat"},
 	} {
 		if code, out := invoke(t, c.args...); code != c.code || !strings.Contains(out, c.says) {
 			t.Errorf("%v: %d, %q; want %d and %q", c.args, code, out, c.code, c.says)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -135,14 +135,21 @@
 	good := "duration = \"5s\"\n[fleet]\nsidecars = 2\nservers = 2\n[load]\nrate = 5\n"
 	for text, field := range map[string]string{
 		good + "colour = 1\n": "colour",
-		strings.Replace(good, "sidecars = 2", "sidecars = 999", 1):      "fleet.sidecars",
-		strings.Replace(good, `"5s"`, `"five"`, 1):                      "duration",
-		good + "[[fault]]\nat = \"1s\"\nkind = \"kill\"\n":              "fault[0].sidecars",
-		good + "[[fault]]\nat = \"1s\"\nkind = \"melt\"\n":              "fault[0].kind",
-		good + "[[fault]]\nat = \"9s\"\nkind = \"discovery\"\n":         "fault[0].at",
-		good + "[[fault]]\nkind = \"reset\"\nservers = [2]\n":           "fault[0].servers",
-		good + "[[chaos]]\nkind = \"discovery\"\ncount = 1\n":           "chaos[0].kind",
-		strings.Replace(good, "rate = 5", "rate = 5\nshape = \"x\"", 1): "load.shape",
+		strings.Replace(good, "sidecars = 2", "sidecars = 999", 1):                "fleet.sidecars",
+		strings.Replace(good, `"5s"`, `"five"`, 1):                                "duration",
+		good + "[[fault]]\nat = \"1s\"\nkind = \"kill\"\n":                        "fault[0].sidecars",
+		good + "[[fault]]\nat = \"1s\"\nkind = \"melt\"\n":                        "fault[0].kind",
+		good + "[[fault]]\nat = \"9s\"\nkind = \"discovery\"\n":                   "fault[0].at",
+		good + "[[fault]]\nkind = \"reset\"\nservers = [2]\n":                     "fault[0].servers",
+		good + "[[fault]]\nkind = \"cut\"\nfrom = [\"s7\"]\n":                     "fault[0].from: \"s7\"",
+		good + "[[fault]]\nkind = \"split\"\ngroups = [[\"s0\"], [\"zone:q\"]]\n": "fault[0].groups[1]: \"zone:q\"",
+		good + "[[fault]]\nkind = \"link\"\nloss = 2.0\n":                         "fault[0].loss",
+		good + "[[fault]]\nkind = \"disk\"\nmode = \"wet\"\nmachines = [0]\n":     "fault[0].mode",
+		good + "[[fault]]\nkind = \"machine-kill\"\nmachines = [2]\n":             "fault[0].machines",
+		good + "[[fault]]\nkind = \"upgrade\"\nsidecars = [0]\n":                  "fault[0].kind",
+		good + "[[call]]\nop = \"sing\"\n[ops]\non = true\n":                      "call[0].op",
+		good + "[[chaos]]\nkind = \"discovery\"\ncount = 1\n":                     "chaos[0].kind",
+		strings.Replace(good, "rate = 5", "rate = 5\nshape = \"x\"", 1):           "load.shape",
 	} {
 		_, err := Parse("e.toml", []byte(text))
 		if err == nil || !strings.Contains(err.Error(), field) || !strings.HasPrefix(err.Error(), "e.toml") {
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -11,6 +11,9 @@
 // datagramMost is the protocol's bound on a datagram between sidecars, in bytes.
 const datagramMost = 256
 
+// relayBuffer is asked of the system for each of the relay's sockets, in bytes, so that it drops nothing unasked.
+const relayBuffer = 4 << 20
+
 // Peers carries the datagrams between sidecars, through the network's faults.
 // A sidecar sends to the hub (its peers_all); the hub sends a copy to every
 // other sidecar from that sender's relay socket, the address that the others
@@ -34,7 +37,11 @@
 // sidecar's own address.
 func NewPeers(n int, network *Network) (*Peers, error) {
 	open := func() (*net.UDPConn, error) {
-		return net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err == nil {
+			conn.SetReadBuffer(relayBuffer)
+		}
+		return conn, err
 	}
 	p := &Peers{index: map[netip.AddrPort]int{}, net: network}
 	var err error
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -134,6 +134,7 @@
 // back: where the file has some of a larger OpsSeq, they stay.
 func Save(dir string, s *Snapshot) (Written, error) {
 	var w Written
+	_, missing := os.Stat(Path(dir, s.Name))
 	db, err := bolt.Open(Path(dir, s.Name), 0o600, &bolt.Options{Timeout: LockWait, NoFreelistSync: true})
 	if err != nil {
 		return w, fmt.Errorf("state file %s: %w", Path(dir, s.Name), err)
@@ -191,12 +192,23 @@
 		}
 		return nil
 	})
+	if err == nil && missing != nil { // the file is new: its name must be on disk, too
+		err = syncDir(dir)
+	}
 	if err != nil {
 		return Written{}, fmt.Errorf("state file %s: %w", Path(dir, s.Name), err)
 	}
 	return w, nil
 }
 
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
 // Load reads the snapshot of the sidecar called name. It returns ErrNone where
 // there is none, and an *Error naming file and record for one that is corrupt,
 // truncated, of another version or of another sidecar; that file is then set
