--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -133,7 +132,7 @@
 	}
 	if *repeat > 1 && len(results) > 0 {
 		repeated := lab.Repeat(results)
-		if err := writeJSON(filepath.Join(*out, "repeat.json"), repeated); err != nil {
+		if err := lab.WriteJSON(filepath.Join(*out, "repeat.json"), repeated); err != nil {
 			return err
 		}
 		fmt.Print(repeated.Table())
@@ -156,7 +155,7 @@
 	if err := lab.MergeLogs(logs, filepath.Join(folder, "merged.jsonl")); err != nil {
 		return nil, err
 	}
-	if err := writeJSON(filepath.Join(folder, "result.json"), result); err != nil {
+	if err := lab.WriteJSON(filepath.Join(folder, "result.json"), result); err != nil {
 		return nil, err
 	}
 	return result, result.Plot(filepath.Join(folder, "plot.png"))
@@ -175,14 +174,6 @@
 	return lab.Run(ctx, exp, exp.Sidecar, logs, slog.New(slog.NewJSONHandler(labLog, nil)).With("lab", exp.Name))
 }
 
-func writeJSON(path string, v any) error {
-	text, err := json.MarshalIndent(v, "", " ")
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(path, append(text, '\n'), 0o644)
-}
-
 func search(args []string) error {
 	flags := flag.NewFlagSet("search", flag.ContinueOnError)
 	out := flags.String("out", "lab-out", "folder for search.json and, by seed, what broke a rule")
--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -1,10 +1,8 @@
 package lab
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
-	"os"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -74,16 +72,9 @@
 
 // ReadRepeated reads what run -repeat wrote, or the result of one run; errors name the file.
 func ReadRepeated(path string) (*Repeated, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
 	var r Repeated
-	if err := json.Unmarshal(data, &r); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	if r.Format > resultFormat {
-		return nil, fmt.Errorf("%s: format %d; this program reads up to %d", path, r.Format, resultFormat)
+	if err := readJSON(path, &r, &r.Format); err != nil {
+		return nil, err
 	}
 	if r.Runs > 0 {
 		return &r, nil
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -56,8 +56,6 @@
 	ObserveEvery Duration `toml:"observe_every"` // default 200ms
 }
 
-func (o Ops) on() bool { return o.On }
-
 // Call is one operators' call at a set time: Op "ban" or "enable" of Server
 // (its number), "drain" or "undrain", at Sidecar.
 type Call struct {
--- a/internal/lab/faults_test.go
+++ b/internal/lab/faults_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -102,22 +103,6 @@
 	}
 }
 
-// hears collects what came to sidecar j of texts with this prefix, until one of the word until (past all faults of the relay, in order).
-func (r *rig) hears(j int, until string) (got []string) {
-	r.Helper()
-	for end := time.After(patience); ; {
-		select {
-		case text := <-r.heard[j]:
-			if text == until {
-				return got
-			}
-			got = append(got, text)
-		case <-end:
-			r.Fatalf("s%d never heard %q, only %v", j, until, got)
-		}
-	}
-}
-
 func (r *rig) await(what string, is func() bool) {
 	r.Helper()
 	for end := time.Now().Add(patience); !is(); time.Sleep(5 * time.Millisecond) {
@@ -131,34 +116,27 @@
 // one; the relay drops at once, so that what has been relayed or dropped of all is counted, not waited for.
 func (r *rig) passes() string {
 	r.Helper()
-	count := func() int { relayed, dropped, _, _ := r.peers.Counts(); return relayed + dropped }
-	before, relayed := count(), 0
-	relayed, _, _, _ = r.peers.Counts()
+	relayed, dropped, _, _ := r.peers.Counts()
 	for i := range r.socks {
 		r.say(i, fmt.Sprint(i))
 	}
-	r.await("all datagrams to be relayed or dropped", func() bool { return count() == before+len(r.socks)*(len(r.socks)-1) })
-	now, _, _, _ := r.peers.Counts()
+	now := 0
+	r.await("all datagrams to be relayed or dropped", func() bool {
+		var lost int
+		now, lost, _, _ = r.peers.Counts()
+		return now+lost == relayed+dropped+len(r.socks)*(len(r.socks)-1)
+	})
 	var pairs []string
-	for len(pairs) < now-relayed {
-		for j := range r.heard {
-			select {
-			case text := <-r.heard[j]:
-				pairs = append(pairs, text+fmt.Sprint(j))
-			default:
+	r.await("what was relayed to arrive", func() bool {
+		for j, heard := range r.heard {
+			for len(heard) > 0 {
+				pairs = append(pairs, <-heard+fmt.Sprint(j))
 			}
 		}
-		time.Sleep(time.Millisecond)
-	}
-	all := ""
-	for i := range r.socks {
-		for j := range r.socks {
-			if pair := fmt.Sprint(i, j); i != j && strings.Contains(strings.Join(pairs, ","), strings.ReplaceAll(pair, " ", "")) {
-				all += strings.ReplaceAll(pair, " ", "") + " "
-			}
-		}
-	}
-	return strings.TrimSpace(all)
+		return len(pairs) == now-relayed
+	})
+	slices.Sort(pairs)
+	return strings.Join(pairs, " ")
 }
 
 const everyPair = "01 02 03 10 12 13 20 21 23 30 31 32"
@@ -348,13 +326,7 @@
 }
 
 // state is a process's state by the system: R, S, T (stopped) ...
-func state(pid int) string {
-	stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if at := strings.LastIndexByte(string(stat), ')'); at > 0 {
-		return strings.Fields(string(stat)[at+2:])[0]
-	}
-	return ""
-}
+func state(pid int) string { return append(statFields(pid), "")[0] }
 
 // Machines are killed, paused and replaced whole: with their disk a ban holds, on an empty one it is gone. Holds that
 // overlap end in any order, and a target already down stays so until the last is gone.
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -56,7 +56,7 @@
 			newClient(i, exp, w.ledger, w.sidecars, late).run(runCtx, exp.Arrivals(i))
 		}()
 	}
-	if exp.Ops.on() {
+	if exp.Ops.On {
 		load.Add(1)
 		go func() { defer load.Done(); newOperatorsLab(exp, w.sidecars, w.ledger, w.history).run(runCtx) }()
 	}
@@ -77,7 +77,7 @@
 	if w.peers != nil {
 		result.Datagrams.Relayed, result.Datagrams.Dropped, result.Datagrams.Oversize, result.Datagrams.Strange = w.peers.Counts()
 	}
-	if exp.Ops.on() {
+	if exp.Ops.On {
 		file, err := os.Create(filepath.Join(folder, "history.jsonl"))
 		if err != nil {
 			return nil, err
@@ -110,7 +110,7 @@
 			w.close()
 		}
 	}()
-	w.ledger.arrivals = exp.Ops.on()
+	w.ledger.arrivals = exp.Ops.On
 	sub, call := newSubnet(), names{exp}
 	listener, err := w.network.Listen(call.discovery(), sub)
 	if err != nil {
@@ -238,12 +238,8 @@
 	var acting sync.WaitGroup
 	defer acting.Wait()
 	for _, ev := range events {
-		if wait := ev.At - w.ledger.Since(); wait > 0 {
-			select {
-			case <-time.After(wait):
-			case <-ctx.Done():
-				return marks
-			}
+		if !w.ledger.until(ctx, ev.At) {
+			return marks
 		}
 		if !ev.Quiet {
 			marks = append(marks, Mark{AtMs: ms(w.ledger.Since()), Label: ev.Label()})
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -82,6 +82,20 @@
 // Since is the lab's clock: the time since the ledger began.
 func (l *Ledger) Since() time.Duration { return time.Since(l.start) }
 
+// until waits for a time of the lab's clock, and tells whether it came before ctx ended.
+func (l *Ledger) until(ctx context.Context, at time.Duration) bool {
+	wait := at - l.Since()
+	if wait <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // micros is the lab's clock in microseconds.
 func (l *Ledger) micros() int64 { return l.Since().Microseconds() }
 
@@ -170,13 +184,8 @@
 func (c *client) run(ctx context.Context, arrivals []time.Duration) {
 	var wg sync.WaitGroup
 	for i, at := range arrivals {
-		if wait := at - c.ledger.Since(); wait > 0 {
-			select {
-			case <-time.After(wait):
-			case <-ctx.Done():
-				wg.Wait()
-				return
-			}
+		if !c.ledger.until(ctx, at) {
+			break
 		}
 		c.late.note(c.late.arrivals, at)
 		id := fmt.Sprintf("%02x%06x%08x", c.index, i, uint32(c.exp.Seed))
--- a/internal/lab/ops.go
+++ b/internal/lab/ops.go
@@ -53,7 +53,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			if o.until(ctx, c.At.Duration) {
+			if o.ledger.until(ctx, c.At.Duration) {
 				o.call(c)
 			}
 		}()
@@ -65,7 +65,7 @@
 			defer wg.Done()
 			// Spread over the period, so that the lab does not ask all at once; the last is at the run's end.
 			for at := every * time.Duration(i) / time.Duration(o.exp.Fleet.Sidecars); at < o.exp.Duration.Duration; at += every {
-				if !o.until(ctx, at) {
+				if !o.ledger.until(ctx, at) {
 					return
 				}
 				o.observe(i)
@@ -75,16 +75,6 @@
 	wg.Wait()
 }
 
-// until waits for a time of the lab's clock, and tells whether it came.
-func (o *operatorsLab) until(ctx context.Context, at time.Duration) bool {
-	select {
-	case <-time.After(at - o.ledger.Since()):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // ask makes one request of sidecar i's operators' address; status 0 where none answered whole.
 func (o *operatorsLab) ask(method string, i int, path, body string) (status int, answer string) {
 	address := o.sidecars.Ops(i)
@@ -168,7 +158,7 @@
 			broken = append(broken, *b)
 		}
 	}
-	if !exp.Ops.on() {
+	if !exp.Ops.On {
 		return nil
 	}
 	for i := range exp.Fleet.Sidecars {
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -246,7 +247,7 @@
 		}
 	}
 	began := s.ledger.Since()
-	if _, err := s.launch(i, listen); err != nil {
+	if err := s.launch(i, listen); err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -276,24 +277,24 @@
 
 // launch starts a process of sidecar i and waits for its yes: of its operators' address where there is one (the
 // application's says no while it is drained). It holds p.act.
-func (s *Sidecars) launch(i int, listen string) (*life, error) {
+func (s *Sidecars) launch(i int, listen string) error {
 	p := s.procs[i]
 	l := &life{exited: make(chan struct{})}
 	asks := "http://" + listen + "/health/ready"
-	if s.exp.Ops.on() {
+	if s.exp.Ops.On {
 		var err error
 		if l.ops, err = s.free(i); err != nil {
-			return nil, err
+			return err
 		}
 		asks = "http://" + l.ops + "/ready"
 	}
 	path := filepath.Join(s.folder, fmt.Sprintf("s%02d.json", i))
 	if err := os.WriteFile(path, s.config(i, listen), 0o600); err != nil {
-		return nil, err
+		return err
 	}
 	logFile, err := os.OpenFile(filepath.Join(s.folder, fmt.Sprintf("s%02d.log", i)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	l.cmd = exec.Command(s.program)
 	l.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_LOG=json", "BALANCER_OPS="+l.ops, "TMPDIR="+s.disk(i).tmp())
@@ -304,7 +305,7 @@
 	if err := startChild(l.cmd); err != nil {
 		s.mu.Unlock()
 		logFile.Close()
-		return nil, err
+		return err
 	}
 	p.lives = append(p.lives, l)
 	s.limit(i, l)
@@ -319,7 +320,7 @@
 	client := &http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(startPatience); ; time.Sleep(10 * time.Millisecond) {
 		if l.over() {
-			return nil, fmt.Errorf("ended before its yes (see %s)", logFile.Name())
+			return fmt.Errorf("ended before its yes (see %s)", logFile.Name())
 		}
 		if response, err := client.Get(asks); err == nil {
 			response.Body.Close()
@@ -327,7 +328,7 @@
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				l.ready = true
-				return l, nil
+				return nil
 			}
 		}
 		s.mu.Lock()
@@ -341,7 +342,7 @@
 			s.mu.Unlock()
 			l.cmd.Process.Kill()
 			<-l.exited
-			return nil, fmt.Errorf("no yes at %s within %v", asks, startPatience)
+			return fmt.Errorf("no yes at %s within %v", asks, startPatience)
 		}
 	}
 }
@@ -515,7 +516,7 @@
 		s.log.Info("no upgrade: the sidecar is down or paused", "sidecar", i)
 		return
 	}
-	_, err := s.launch(i, s.Listen(i))
+	err := s.launch(i, s.Listen(i))
 	s.mu.Lock()
 	disturbed := p.holdDown > 0 || s.ending || old.over()
 	s.mu.Unlock()
@@ -554,15 +555,10 @@
 // memory; sampling one life twice counts it once. It holds s.mu.
 func (s *Sidecars) sample(p *proc, l *life) {
 	pid := l.cmd.Process.Pid
-	if stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid)); err == nil {
-		if at := strings.LastIndexByte(string(stat), ')'); at > 0 {
-			fields := strings.Fields(string(stat)[at+2:])
-			if len(fields) > 12 {
-				user, _ := strconv.ParseInt(fields[11], 10, 64)
-				system, _ := strconv.ParseInt(fields[12], 10, 64)
-				l.cpu = time.Duration(user+system) * 10 * time.Millisecond // clock ticks of 100 Hz
-			}
-		}
+	if fields := statFields(pid); len(fields) > 12 {
+		user, _ := strconv.ParseInt(fields[11], 10, 64)
+		system, _ := strconv.ParseInt(fields[12], 10, 64)
+		l.cpu = time.Duration(user+system) * 10 * time.Millisecond // clock ticks of 100 Hz
 	}
 	if status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)); err == nil {
 		for _, line := range strings.Split(string(status), "\n") {
@@ -574,6 +570,12 @@
 	}
 }
 
+// statFields are the fields of /proc/PID/stat from the process's state on; none where there is no such process.
+func statFields(pid int) []string {
+	stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	return strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:])) // the name before may hold anything
+}
+
 // Stop ends every sidecar: SIGCONT and SIGTERM, then SIGKILL after 5 s. None starts after it.
 func (s *Sidecars) Stop() {
 	s.mu.Lock()
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"image/color"
 	"os"
+	"path/filepath"
 	"slices"
 	"sort"
 	"syscall"
@@ -87,8 +88,21 @@
 // server long drained or banned, ids no client sent, datagrams too long,
 // promises that the history breaks, sidecars that failed by themselves.
 func (r *Result) Breaches() int {
-	return r.Outcomes[Lost] + r.Outcomes[Forged] + r.Outcomes[Unfinished] + r.RanTwice + r.AfterDrain + r.AfterBan + r.Strange +
-		r.Datagrams.Oversize + len(r.Broken) + len(r.Troubles)
+	sum := 0
+	for _, n := range r.rules() {
+		sum += n
+	}
+	return sum
+}
+
+// rules counts the breaches of each rule, by its name.
+func (r *Result) rules() map[string]int {
+	rules := map[string]int{"lost": r.Outcomes[Lost], "forged": r.Outcomes[Forged], "unfinished": r.Outcomes[Unfinished], "ran_twice": r.RanTwice,
+		"after_drain": r.AfterDrain, "after_ban": r.AfterBan, "strange": r.Strange, "oversize": r.Datagrams.Oversize, "trouble": len(r.Troubles)}
+	for _, b := range r.Broken {
+		rules[b.Check]++
+	}
+	return rules
 }
 
 // resultFormat is the version of a result's JSON. 1: links, machines, operators' calls, histories, lateness.
@@ -284,18 +298,38 @@
 
 // ReadResult reads a result written as JSON; errors name the file.
 func ReadResult(path string) (*Result, error) {
+	var r Result
+	if err := readJSON(path, &r, &r.Format); err != nil {
+		return nil, err
+	}
+	return &r, nil
+}
+
+// readJSON reads a file into v, of which format is a part; errors name the file.
+func readJSON(path string, v any, format *int) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	var r Result
-	if err := json.Unmarshal(data, &r); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+	if err := json.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
 	}
-	if r.Format > resultFormat {
-		return nil, fmt.Errorf("%s: format %d; this program reads up to %d", path, r.Format, resultFormat)
+	if *format > resultFormat {
+		return fmt.Errorf("%s: format %d; this program reads up to %d", path, *format, resultFormat)
 	}
-	return &r, nil
+	return nil
+}
+
+// WriteJSON writes v as indented JSON, and makes the file's folder.
+func WriteJSON(path string, v any) error {
+	text, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644)
 }
 
 // Summary is a few lines for people.
--- a/internal/lab/search.go
+++ b/internal/lab/search.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -57,17 +56,9 @@
 
 // kinds names the rules that a result breaks.
 func (r *Result) kinds() []string {
-	found := map[string]bool{}
-	for kind, n := range map[string]int{"lost": r.Outcomes[Lost], "forged": r.Outcomes[Forged], "unfinished": r.Outcomes[Unfinished], "ran_twice": r.RanTwice,
-		"after_drain": r.AfterDrain, "after_ban": r.AfterBan, "strange": r.Strange, "oversize": r.Datagrams.Oversize, "trouble": len(r.Troubles)} {
-		if n > 0 {
-			found[kind] = true
-		}
-	}
-	for _, b := range r.Broken {
-		found[b.Check] = true
-	}
-	return slices.Sorted(maps.Keys(found))
+	rules := r.rules()
+	maps.DeleteFunc(rules, func(_ string, n int) bool { return n == 0 })
+	return slices.Sorted(maps.Keys(rules))
 }
 
 // Search draws a schedule of faults for each seed over base, runs it, and
@@ -160,14 +151,7 @@
 		say(fmt.Sprintf("seed %d: %d faults shrunk to %d in %d runs: %s", f.Seed, f.Faults, f.Small, f.ShrinkRun, filepath.Join(f.Folder, "small.toml")))
 	}
 	report.Seconds = time.Since(began).Seconds()
-	text, err := json.MarshalIndent(report, "", " ")
-	if err != nil {
-		return report, err
-	}
-	if err := os.MkdirAll(out, 0o755); err != nil {
-		return report, err
-	}
-	return report, os.WriteFile(filepath.Join(out, "search.json"), append(text, '\n'), 0o644)
+	return report, WriteJSON(filepath.Join(out, "search.json"), report)
 }
 
 // breaks lists what a result breaks, for people.
@@ -222,7 +206,7 @@
 	if d.exp.Fleet.Peers {
 		kinds = append(kinds, "isolate", "peers", "link", "flap", "split")
 	}
-	if d.exp.Ops.on() {
+	if d.exp.Ops.On {
 		kinds = append(kinds, "upgrade")
 	}
 	kinds = append(kinds, "machine-kill", "machine-replace", "machine-pause")
@@ -242,7 +226,7 @@
 
 func (d *drawer) pick(of ...string) string { return of[d.random.IntN(len(of))] }
 
-// names turns sidecars' numbers into selectors.
+// selectors names sidecars (s) or servers (v) by their numbers.
 func selectors(prefix string, numbers []int) []string {
 	var list []string
 	for _, i := range numbers {
