Take out what kept state no longer uses: the loop's drained and keep

Cause: since orders come from the operators' store, the loop's own drained was overwritten by it, and without operators it was never true; keep had one caller left, which has a keeper.

Change: both are gone; what is kept is the same.

The full-size fleet was not played again: nothing that decides or serves is changed.

--- a/internal/sidecar/durable.go
+++ b/internal/sidecar/durable.go
@@ -146,7 +146,7 @@
 
 // snapshot is what the loop knows now that is worth keeping.
 func (l *loop) snapshot(now balancer.Micros) *state.Snapshot {
-	s := &state.Snapshot{Name: l.cfg.Name, Written: l.listedAt, Whole: true, Drained: l.drained()}
+	s := &state.Snapshot{Name: l.cfg.Name, Written: l.listedAt, Whole: true}
 	if l.seq != nil {
 		s.Seq = *l.seq
 	}
@@ -170,12 +170,5 @@
 	return s
 }
 
-// keep offers a snapshot where state is kept.
-func (l *loop) keep(now balancer.Micros) {
-	if l.keeper != nil {
-		l.keeper.offer(l.snapshot(now))
-	}
-}
-
 // keepCadence is the time to the next snapshot after one that took took.
 func keepCadence(took time.Duration) time.Duration { return max(keepEvery, keepBudget*took) }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -69,7 +69,6 @@
 	keeper   *keeper                        // nil where no state is kept
 	kept     *state.Snapshot                // what an earlier process kept, until the start
 	orders   func() *shared                 // what operators ordered; nil without operators
-	drained  func() bool                    // the sidecar sends its clients away
 	listedAt time.Time                      // wall clock when discovery last told the list
 
 	// Below: the loop's goroutine alone.
@@ -123,7 +122,7 @@
 		urgent:   make(chan func(balancer.Micros), opsMost),
 		listings: map[uint32]listing{}, banned: map[uint32]bool{},
 		requests: map[uint64]*request{}, ids: map[string]uint32{}, names: map[uint32]string{}, targets: map[uint32]*target{},
-		stopWatch: func() {}, drained: func() bool { return false },
+		stopWatch: func() {},
 	}
 	var err error
 	l.balancer, err = balancer.New(cfg.Settings, cfg.Seed, l)
@@ -163,7 +162,7 @@
 		case <-prune.C:
 			l.up.prune()
 		case <-keepAt:
-			l.keep(l.clock.now())
+			l.keeper.offer(l.snapshot(l.clock.now()))
 			keepAt = time.After(keepCadence(time.Duration(l.keeper.took.Load())))
 		case <-l.ctx.Done():
 			return
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -78,7 +78,7 @@
 		return err
 	}
 	s := newServer(l)
-	l.kept, l.drained = recallState(cfg, log), s.drained.Load
+	l.kept = recallState(cfg, log)
 	if cfg.StateDir != "" {
 		l.keeper = newKeeper(cfg.StateDir, log)
 	}
