--- /dev/null
+++ b/internal/fleet/link/link.go
@@ -0,0 +1,184 @@
+// Package link is the one path between sidecars: UDP datagrams of at most 256
+// bytes that may be lost (PROTOCOL, Between sidecars). The first byte of each
+// is its channel. A Link carries packets and, by KCP, streams on it, counts
+// what passes, and keeps the view's share to a budget.
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// DatagramMost is the protocol's bound on a datagram, in bytes, its channel's byte included.
+const DatagramMost = 256
+
+// Channel is the first byte of a datagram.
+type Channel byte
+
+// The channels. News is the module's messages, whose version is their first
+// byte, so that they are on the wire as they were before there were others.
+const (
+	News       Channel = 1
+	Packets    Channel = 2 // of the view
+	ToListener Channel = 3 // segments of streams, to the side that accepted
+	ToDialer   Channel = 4
+	channels           = 5
+)
+
+const (
+	tellTimeout = 10 * time.Millisecond // a datagram that does not leave at once is as good as lost
+	pause       = 100 * time.Millisecond
+	burst       = 4 * time.Second // of the budget, which a start or a healing spends at once
+)
+
+// Count is what passed on one channel since the start, in datagrams and bytes
+// of payload (UDP and IP headers not counted).
+type Count struct {
+	SentDatagrams, SentBytes         uint64
+	ReceivedDatagrams, ReceivedBytes uint64
+	HeldBack                         uint64 // not sent for want of budget
+	Refused                          uint64 // received and dropped: too long, from a stranger, improper
+}
+
+type counter struct{ sent, sentBytes, received, receivedBytes, held, refused atomic.Uint64 }
+
+// Options of a Link. Zero values are usable.
+type Options struct {
+	Budget float64 // datagrams a second of all channels but News, half for packets and half for streams; 0 for no bound
+	// Control sets options of the socket before it is bound.
+	Control func(network, address string, raw syscall.RawConn) error
+	Log     *slog.Logger
+}
+
+// Link is one sidecar's end of the path. It is safe for concurrent use.
+type Link struct {
+	send    func(data []byte, to netip.AddrPort) error
+	budget  [channels]*rate.Limiter // nil for no bound
+	counts  [channels]counter
+	unknown atomic.Uint64 // datagrams too long, empty or of no known channel
+	handle  [channels]func(from netip.AddrPort, data []byte) bool
+	log     *slog.Logger
+	conn    *net.UDPConn // nil where others carry the datagrams
+}
+
+// New makes a link whose datagrams send carries, without keeping data; what
+// comes in is handed to Deliver. Handlers are set before the first Deliver.
+func New(send func(data []byte, to netip.AddrPort) error, o Options) *Link {
+	l := &Link{send: send, log: o.Log}
+	if l.log == nil {
+		l.log = slog.New(slog.DiscardHandler)
+	}
+	if o.Budget > 0 {
+		half := func() *rate.Limiter {
+			return rate.NewLimiter(rate.Limit(o.Budget/2), max(1, int(o.Budget/2*burst.Seconds())))
+		}
+		l.budget[Packets] = half() // so that lists sent to many leave room to answer pings
+		l.budget[ToListener] = half()
+		l.budget[ToDialer] = l.budget[ToListener]
+	}
+	return l
+}
+
+// Open makes a link on a UDP socket of its own. Serve reads it, until ctx ends and with it the socket.
+func Open(ctx context.Context, listen netip.AddrPort, o Options) (*Link, error) {
+	config := net.ListenConfig{Control: o.Control}
+	packets, err := config.ListenPacket(ctx, "udp4", listen.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen to peers: %w", err)
+	}
+	conn := packets.(*net.UDPConn)
+	l := New(func(data []byte, to netip.AddrPort) error {
+		conn.SetWriteDeadline(time.Now().Add(tellTimeout))
+		_, err := conn.WriteToUDPAddrPort(data, to)
+		return err
+	}, o)
+	l.conn = conn
+	context.AfterFunc(ctx, func() { conn.Close() })
+	return l, nil
+}
+
+// Conn is the link's socket.
+func (l *Link) Conn() *net.UDPConn { return l.conn }
+
+// Handle has f take what comes on a channel: the whole datagram, which f may
+// keep, and where it came from. f returns false for one that it refuses.
+func (l *Link) Handle(c Channel, f func(from netip.AddrPort, data []byte) bool) { l.handle[c] = f }
+
+// Serve passes on what comes to the socket until it is closed.
+func (l *Link) Serve() {
+	buf := make([]byte, DatagramMost+1) // a byte more tells that one is too long
+	for {
+		n, from, err := l.conn.ReadFromUDPAddrPort(buf)
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			l.log.Warn("peers", "error", err)
+			time.Sleep(pause) // else a socket in trouble would fill the log
+		default:
+			l.Deliver(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), append([]byte(nil), buf[:n]...))
+		}
+	}
+}
+
+// Deliver hands in one datagram; it takes data over.
+func (l *Link) Deliver(from netip.AddrPort, data []byte) {
+	if len(data) == 0 || len(data) > DatagramMost || data[0] >= channels || l.handle[data[0]] == nil {
+		l.refused(&l.unknown, from, data)
+		return
+	}
+	c := &l.counts[data[0]]
+	c.received.Add(1)
+	c.receivedBytes.Add(uint64(len(data)))
+	if !l.handle[data[0]](from, data) {
+		l.refused(&c.refused, from, data)
+	}
+}
+
+// refused counts and, the 1st, 2nd, 4th, 8th ... time, logs a datagram dropped.
+func (l *Link) refused(count *atomic.Uint64, from netip.AddrPort, data []byte) {
+	if n := count.Add(1); n&(n-1) == 0 {
+		l.log.Warn("datagram dropped", "from", from, "bytes", len(data), "dropped", n)
+	}
+}
+
+// ErrBudget says that a datagram was held back.
+var ErrBudget = errors.New("over the budget of datagrams")
+
+// Send sends one datagram, whose first byte is its channel. An error is as if it was lost on the way.
+func (l *Link) Send(to netip.AddrPort, data []byte) error {
+	if len(data) == 0 || len(data) > DatagramMost || data[0] >= channels {
+		return fmt.Errorf("a datagram of %d bytes is not sent", len(data))
+	}
+	c := &l.counts[data[0]]
+	if b := l.budget[data[0]]; b != nil && !b.Allow() {
+		c.held.Add(1)
+		return ErrBudget
+	}
+	if err := l.send(data, to); err != nil {
+		return err
+	}
+	c.sent.Add(1)
+	c.sentBytes.Add(uint64(len(data)))
+	return nil
+}
+
+// Counts gives what passed on each channel, and how many datagrams came that were of none.
+func (l *Link) Counts() (by map[Channel]Count, unknown uint64) {
+	by = map[Channel]Count{}
+	for i := range l.counts {
+		if c := &l.counts[i]; i > 0 {
+			by[Channel(i)] = Count{c.sent.Load(), c.sentBytes.Load(), c.received.Load(), c.receivedBytes.Load(), c.held.Load(), c.refused.Load()}
+		}
+	}
+	return by, l.unknown.Load()
+}
