--- /dev/null
+++ b/internal/fleet/view/vet.go
@@ -0,0 +1,204 @@
+package view
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net"
+
+	"github.com/hashicorp/go-msgpack/v2/codec"
+)
+
+// What memberlist is sent is looked through before the library sees it: it
+// allocates by a count that it was told, indexes versions unchecked, and takes
+// one strange version as reason to refuse whole lists. The messages' forms are
+// those of memberlist v0.5 (net.go), each by one type byte and msgpack.
+const (
+	msgPing byte = iota
+	msgIndirectPing
+	msgAck
+	msgSuspect
+	msgAlive
+	msgDead
+	msgPushPull
+	msgCompound
+	msgNack    byte = 11
+	msgHasCRC  byte = 12
+	msgErr     byte = 13
+	versions        = 6 // protocol and delegate: least, most and spoken
+	speaks          = 2 // the protocol version that all of this program speak
+	stateLeft       = 3
+	crcHead         = 5
+	statesHead      = 256 // bytes of a push/pull before its states, at most
+	stateBytes      = 400 // of one state, at most
+)
+
+// wire is any message: each kind uses some of the fields.
+type wire struct {
+	SeqNo       uint32
+	Node        string
+	From        string
+	Name        string
+	SourceNode  string
+	Addr        []byte
+	SourceAddr  []byte
+	Target      []byte
+	Port        uint16
+	SourcePort  uint16
+	Incarnation uint32
+	Meta        []byte
+	Vsn         []byte
+	Payload     []byte
+	State       int
+	Nack        bool
+}
+
+// said is what the library does not pass on of a message: who was told alive, or said goodbye, in which incarnation.
+type said func(name string, incarnation uint32, goodbye bool)
+
+func decode(r io.Reader, into any) error {
+	return codec.NewDecoder(r, &codec.MsgpackHandle{}).Decode(into)
+}
+
+// vetPacket says why a packet cannot be one of memberlist's, and whether it holds an answer; note is told of what it
+// says of members.
+func vetPacket(data []byte, note said) (ack bool, err error) {
+	if len(data) >= crcHead && data[0] == msgHasCRC {
+		if crc32.ChecksumIEEE(data[crcHead:]) != binary.BigEndian.Uint32(data[1:]) {
+			return false, errors.New("checksum does not match")
+		}
+		data = data[crcHead:]
+	}
+	if len(data) < 2 || data[0] != msgCompound {
+		return len(data) > 0 && data[0] == msgAck, vetMessage(data, note)
+	}
+	parts := int(data[1])
+	if len(data) < 2+2*parts {
+		return false, errors.New("compound: truncated")
+	}
+	lengths, rest := data[2:2+2*parts], data[2+2*parts:]
+	for ; len(lengths) > 0; lengths = lengths[2:] {
+		n := int(binary.BigEndian.Uint16(lengths))
+		if n > len(rest) {
+			return false, errors.New("compound: truncated")
+		}
+		if err := vetMessage(rest[:n], note); err != nil {
+			return false, err
+		}
+		ack = ack || rest[0] == msgAck
+		rest = rest[n:]
+	}
+	return ack, nil
+}
+
+func vetMessage(data []byte, note said) error {
+	if len(data) == 0 {
+		return errors.New("empty")
+	}
+	var m wire
+	if err := decode(bytes.NewReader(data[1:]), &m); err != nil {
+		return fmt.Errorf("type %d: %w", data[0], err)
+	}
+	switch data[0] {
+	case msgPing:
+		return errors.Join(checkName("Node", m.Node, 0), checkName("SourceNode", m.SourceNode, 0), checkIP("SourceAddr", m.SourceAddr, true))
+	case msgIndirectPing:
+		return errors.Join(checkName("Node", m.Node, 0), checkName("SourceNode", m.SourceNode, 0), checkIP("SourceAddr", m.SourceAddr, true),
+			checkIP("Target", m.Target, false))
+	case msgAck:
+		if len(m.Payload) > 0 {
+			return errors.New("ack: has a payload")
+		}
+	case msgNack:
+	case msgSuspect, msgDead:
+		if err := errors.Join(checkName("Node", m.Node, 1), checkName("From", m.From, 1)); err != nil {
+			return err
+		}
+		if data[0] == msgDead && m.Node == m.From {
+			note(m.Node, m.Incarnation, true)
+		}
+	case msgAlive:
+		return vetState(m, m.Node, note)
+	default:
+		return fmt.Errorf("type %d is none of the view's", data[0])
+	}
+	return nil
+}
+
+// vetState checks what is told of a member that lives, or of one in a push/pull.
+func vetState(m wire, name string, note said) error {
+	if _, err := readMember(name, net.IP(m.Addr), m.Port, m.Meta); err != nil {
+		return err
+	}
+	switch v := m.Vsn; {
+	case len(v) != versions:
+		return fmt.Errorf("Vsn: %d versions are not %d", len(v), versions)
+	case v[0] < 1 || v[0] > speaks || v[1] < speaks || v[2] < v[0] || v[2] > v[1] || v[3] != 0 || v[5] != 0:
+		return fmt.Errorf("Vsn: %v leaves out protocol %d", v, speaks)
+	case m.State < 0 || m.State > stateLeft:
+		return fmt.Errorf("State: %d is none", m.State)
+	}
+	note(name, m.Incarnation, m.State == stateLeft)
+	return nil
+}
+
+func checkName(field, text string, least int) error {
+	if err := checkText(text, least, NameMost); err != nil {
+		return fmt.Errorf("%s: %.80q %w", field, text, err)
+	}
+	return nil
+}
+
+func checkIP(field string, ip []byte, optional bool) error {
+	if len(ip) != net.IPv4len && !(optional && len(ip) == 0) {
+		return fmt.Errorf("%s: %d bytes are no IPv4 address", field, len(ip))
+	}
+	return nil
+}
+
+// vetStream reads one whole message of a stream, a push/pull of at most most
+// states or an error's text, and returns its bytes.
+func vetStream(r io.Reader, most int, note said) ([]byte, error) {
+	var whole bytes.Buffer
+	in := bufio.NewReader(io.TeeReader(io.LimitReader(r, int64(statesHead+most*stateBytes)), &whole))
+	kind, err := in.ReadByte()
+	if err != nil {
+		return nil, err
+	}
+	dec := codec.NewDecoder(in, &codec.MsgpackHandle{})
+	switch kind {
+	case msgErr:
+		var text struct{ Error string }
+		if err := dec.Decode(&text); err != nil {
+			return nil, fmt.Errorf("error: %w", err)
+		}
+		return whole.Bytes(), nil
+	case msgPushPull:
+	default:
+		return nil, fmt.Errorf("stream: type %d is no push/pull", kind)
+	}
+	var head struct {
+		Nodes, UserStateLen int
+		Join                bool
+	}
+	if err := dec.Decode(&head); err != nil {
+		return nil, fmt.Errorf("push/pull: %w", err)
+	}
+	if head.Nodes < 0 || head.Nodes > most || head.UserStateLen != 0 {
+		return nil, fmt.Errorf("push/pull: %d states (at most %d) and %d bytes more (at most 0)", head.Nodes, most, head.UserStateLen)
+	}
+	for i := range head.Nodes {
+		var m wire
+		if err := dec.Decode(&m); err != nil {
+			return nil, fmt.Errorf("push/pull: state %d: %w", i, err)
+		}
+		if err := vetState(m, m.Name, note); err != nil {
+			return nil, fmt.Errorf("push/pull: state %d: %w", i, err)
+		}
+	}
+	return whole.Bytes(), nil
+}
