Run the fleet's view in the sidecar: table fleet, GET /fleet, kept view, upgrades

With fleet.on (default off) a sidecar takes part in the fleet: its news and the view share one socket (internal/fleet), GET /fleet on the operators' address tells members, epoch, digest, cut off and traffic, the state file keeps the last settled view, and the module is told how many sidecars live (Balancer.Fleet). Two processes of an upgrade are one member by a byte of the state file's lock; a state file without a view reads as before.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -320,6 +320,9 @@
 // Share tells how many processes act for this balancer, each with a part of its traffic, as in an upgrade.
 func (b *Balancer) Share(processes int) { b.processes = processes }
 
+// Fleet tells how many balancers of the tier live, this one included, in place of Settings.Balancers.
+func (b *Balancer) Fleet(living int) { b.s.Balancers = max(1, living) }
+
 // due returns an endpoint that was called back and has got nothing for too long, if r may go there. Its first
 // request need not be saved up where those of all balancers together are no more than it bears when coldest.
 func (b *Balancer) due(now Micros, r *request) *endpoint {
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,334 @@
+// Package fleet is what a sidecar has to do with the others: the datagrams'
+// path (link) with the module's news on it and, where it is switched on, a
+// view of the fleet kept by the sidecars themselves (view). It knows neither
+// HTTP nor the module. See docs/design-fleet.md.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"peatpost/internal/fleet/link"
+	"peatpost/internal/fleet/view"
+)
+
+// Version is the program's, as members tell it to each other.
+const Version = "21.0"
+
+// Settings is the configuration's table "fleet".
+type Settings struct {
+	On            bool    // keep a view of the fleet; off by default
+	Advertise     string  // address:port at which the others reach this sidecar; by default its entry in peers, else peer_listen
+	QuietS        float64 // seconds that a change must last, and between views; 1
+	ProbeMS       float64 // milliseconds between probes of the failure detector; 400
+	Members       int     // known at once, the gone included; 1000
+	DatagramsPerS float64 // a second, of the view, with a burst of 4 s; 100
+}
+
+// ParseSettings reads the table from JSON; none or null is the defaults. Errors name the key.
+func ParseSettings(raw json.RawMessage) (Settings, error) {
+	s := Settings{QuietS: 1, ProbeMS: 400, Members: 1000, DatagramsPerS: 100}
+	if len(raw) == 0 {
+		return s, nil
+	}
+	file := struct {
+		On            *bool    `json:"on"`
+		Advertise     *string  `json:"advertise"`
+		QuietS        *float64 `json:"quiet_s"`
+		ProbeMS       *float64 `json:"probe_ms"`
+		Members       *int     `json:"members"`
+		DatagramsPerS *float64 `json:"datagrams_per_s"`
+	}{&s.On, &s.Advertise, &s.QuietS, &s.ProbeMS, &s.Members, &s.DatagramsPerS}
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&file); err != nil {
+		return s, err
+	}
+	for _, c := range []struct {
+		key                string
+		value, least, most float64
+	}{{"quiet_s", s.QuietS, 0.1, 60}, {"probe_ms", s.ProbeMS, 50, 10_000}, {"members", float64(s.Members), 2, 10_000},
+		{"datagrams_per_s", s.DatagramsPerS, 10, 10_000}} {
+		if !(c.value >= c.least && c.value <= c.most) {
+			return s, fmt.Errorf("%s: %v is not within %v to %v", c.key, c.value, c.least, c.most)
+		}
+	}
+	if s.Advertise != "" {
+		if a, err := netip.ParseAddrPort(s.Advertise); err != nil || !a.Addr().Is4() || a.Port() == 0 {
+			return s, fmt.Errorf("advertise: %q is not an IPv4 address:port", s.Advertise)
+		}
+	}
+	return s, nil
+}
+
+// Options of a Fleet.
+type Options struct {
+	Settings
+	Name, Zone string
+	State      bool             // this sidecar keeps state on a disk
+	Listen     netip.AddrPort   // where datagrams come in
+	Peers      []netip.AddrPort // of the whole tier, by their numbers; news is taken from them alone, and they are the view's seeds
+	Position   int              // the own number among Peers
+	All        netip.AddrPort   // reaches all of them
+	Kept       json.RawMessage  // what Keep gave an earlier process
+	// Control sets options of the socket before it is bound; Opened has it afterwards.
+	Control func(network, address string, raw syscall.RawConn) error
+	Opened  func(socket syscall.Conn)
+	News    func(data []byte) // takes news of the module; nil for none
+	Changed func(living int)  // is told how many sidecars there are, whenever that is settled anew and not cut off
+	Log     *slog.Logger
+}
+
+// advertise is the own address as the others know it.
+func (o *Options) advertise() netip.AddrPort {
+	if o.Advertise != "" {
+		return netip.MustParseAddrPort(o.Advertise)
+	}
+	if o.Position >= 0 && o.Position < len(o.Peers) {
+		return o.Peers[o.Position]
+	}
+	return o.Listen
+}
+
+// Self is what this sidecar tells the others of itself; its error names what cannot be told.
+func (o *Options) Self() (view.Member, error) {
+	m := view.Member{Name: o.Name, Zone: o.Zone, Version: Version, Start: time.Now(), Addr: o.advertise()}
+	if o.News != nil {
+		m.Features |= view.FeatureNews
+	}
+	if o.State {
+		m.Features |= view.FeatureState
+	}
+	return m, m.Validate()
+}
+
+// Fleet is one process's part in the fleet.
+type Fleet struct {
+	o    Options
+	link *link.Link
+	view *view.View // nil where it is off
+	stop context.CancelFunc
+
+	mu     sync.Mutex
+	sample [2]sample // of the counts, the older one first
+}
+
+type sample struct {
+	at     time.Time
+	counts map[link.Channel]link.Count
+}
+
+const sampleEvery = 5 * time.Second
+
+// Open opens the socket and, where it is on, the view; all ends with ctx. News goes on until then, also after Close.
+func Open(ctx context.Context, o Options) (*Fleet, error) {
+	f := &Fleet{o: o, stop: func() {}}
+	var kept view.Kept
+	if len(o.Kept) > 0 && o.On {
+		if err := json.Unmarshal(o.Kept, &kept); err != nil {
+			o.Log.Error("view: what was kept cannot be read; it is not used", "error", err)
+			kept = view.Kept{}
+		}
+	}
+	var err error
+	if f.link, err = link.Open(ctx, o.Listen, link.Options{Budget: o.DatagramsPerS, Control: o.Control, Log: o.Log}); err != nil {
+		return nil, err
+	}
+	if o.Opened != nil {
+		o.Opened(f.link.Conn())
+	}
+	if o.News != nil {
+		from := map[netip.AddrPort]bool{}
+		for _, a := range o.Peers {
+			from[a] = a != o.Listen
+		}
+		f.link.Handle(link.News, func(a netip.AddrPort, data []byte) bool {
+			if from[a] {
+				o.News(data)
+			}
+			return from[a]
+		})
+	}
+	if o.On {
+		self, err := o.Self()
+		if err != nil {
+			f.link.Conn().Close()
+			return nil, fmt.Errorf("fleet: %w", err)
+		}
+		f.view, err = view.Open(f.link, view.Options{Self: self, Seeds: o.Peers, Kept: kept, Most: o.Members, Log: o.Log,
+			Quiet: time.Duration(o.QuietS * float64(time.Second)), Probe: time.Duration(o.ProbeMS * float64(time.Millisecond)),
+			Changed: func(s view.Settled) {
+				if o.Changed != nil && !s.CutOff {
+					o.Changed(len(s.Names))
+				}
+			}})
+		if err != nil {
+			f.link.Conn().Close()
+			return nil, err
+		}
+		var sampling context.Context
+		sampling, f.stop = context.WithCancel(ctx)
+		f.keepSamples()
+		go f.sampleUntil(sampling)
+	}
+	go f.link.Serve()
+	return f, nil
+}
+
+// Close ends the view, with a goodbye unless another process of this sidecar goes on as the same member. In
+// that case the socket goes, too, so that the other has all that comes.
+func (f *Fleet) Close(goodbye bool) {
+	f.stop()
+	if f.view != nil {
+		f.view.Close(goodbye)
+	}
+	if !goodbye {
+		f.link.Conn().Close()
+	}
+}
+
+// Tell sends news of the module to all the others.
+func (f *Fleet) Tell(data []byte) {
+	if err := f.link.Send(f.o.All, data); err != nil {
+		f.o.Log.Debug("peers", "error", err) // as if lost on the way
+	}
+}
+
+// Keep is what a next process of this sidecar should be given; nil where the view is off.
+func (f *Fleet) Keep() json.RawMessage {
+	if f.view == nil {
+		return nil
+	}
+	data, err := json.Marshal(f.view.Keep())
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func (f *Fleet) sampleUntil(ctx context.Context) {
+	tick := time.NewTicker(sampleEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			f.keepSamples()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Fleet) keepSamples() {
+	counts, _ := f.link.Counts()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sample[0] = f.sample[1]
+	f.sample[1] = sample{time.Now(), counts}
+}
+
+// Status is what operators are told of the view, as JSON.
+type Status struct {
+	Name         string    `json:"name"`
+	Epoch        uint64    `json:"epoch"`         // of this sidecar's; moves when the set of members does
+	Digest       string    `json:"digest"`        // the same at two sidecars that see the same members
+	SettledSince time.Time `json:"settled_since"` // when the set last changed
+	CutOff       bool      `json:"cut_off"`       // it hears almost nobody, and goes on with what it knew
+	Settled      []string  `json:"settled"`       // the members, sorted
+
+	Members []MemberStatus     `json:"members,omitempty"`
+	Traffic map[string]Traffic `json:"traffic,omitempty"` // by channel
+	Counts  map[string]uint64  `json:"counts,omitempty"`
+}
+
+// MemberStatus is one member as operators see it.
+type MemberStatus struct {
+	Name     string    `json:"name"`
+	State    string    `json:"state"` // alive, failed, left
+	Since    time.Time `json:"since"`
+	Zone     string    `json:"zone"`
+	Version  string    `json:"version"`
+	Features []string  `json:"features"`
+	Address  string    `json:"address"`
+	Start    time.Time `json:"start"`
+	HeardMS  float64   `json:"heard_ms"` // since a datagram of its last came; -1 for never, and for oneself
+}
+
+// Traffic of one channel: a second, over the last 5 to 10 s, and whole counts since the start.
+type Traffic struct {
+	SentPerS          float64 `json:"sent_per_s"`
+	SentBytesPerS     float64 `json:"sent_bytes_per_s"`
+	ReceivedPerS      float64 `json:"received_per_s"`
+	ReceivedBytesPerS float64 `json:"received_bytes_per_s"`
+	Sent              uint64  `json:"sent"`
+	SentBytes         uint64  `json:"sent_bytes"`
+	Received          uint64  `json:"received"`
+	HeldBack          uint64  `json:"held_back"` // over the budget
+	Refused           uint64  `json:"refused"`
+}
+
+var channelNames = map[link.Channel]string{link.News: "news", link.Packets: "packets", link.ToListener: "streams_out", link.ToDialer: "streams_in"}
+
+// Status gives the view, false where it is off; brief leaves out members, traffic and counts.
+func (f *Fleet) Status(brief bool) (Status, bool) {
+	if f.view == nil {
+		return Status{}, false
+	}
+	settled := f.view.Settled()
+	s := Status{Name: f.o.Name, Epoch: settled.Epoch, Digest: fmt.Sprintf("%016x", settled.Digest), SettledSince: settled.Since,
+		CutOff: settled.CutOff, Settled: settled.Names}
+	if brief {
+		return s, true
+	}
+	now := time.Now()
+	for _, m := range f.view.Members() {
+		ms := MemberStatus{Name: m.Name, State: string(m.State), Since: m.Changed, Zone: m.Zone, Version: m.Version, Features: m.Features.Names(),
+			Address: m.Addr.String(), Start: m.Start, HeardMS: -1}
+		if !m.Heard.IsZero() {
+			ms.HeardMS = math.Round(now.Sub(m.Heard).Seconds()*1e6) / 1e3
+		}
+		s.Members = append(s.Members, ms)
+	}
+	counts, unknown := f.link.Counts()
+	f.mu.Lock()
+	old := f.sample[0]
+	if old.counts == nil {
+		old = f.sample[1]
+	}
+	f.mu.Unlock()
+	seconds := max(now.Sub(old.at).Seconds(), 1e-3)
+	perS := func(now, then uint64) float64 { return math.Round(float64(now-then)/seconds*100) / 100 }
+	s.Traffic = map[string]Traffic{}
+	for channel, c := range counts {
+		was := old.counts[channel]
+		s.Traffic[channelNames[channel]] = Traffic{perS(c.SentDatagrams, was.SentDatagrams), perS(c.SentBytes, was.SentBytes),
+			perS(c.ReceivedDatagrams, was.ReceivedDatagrams), perS(c.ReceivedBytes, was.ReceivedBytes),
+			c.SentDatagrams, c.SentBytes, c.ReceivedDatagrams, c.HeldBack, c.Refused}
+	}
+	conflicts, full, improper, dropped := f.view.Troubles()
+	s.Counts = map[string]uint64{"name_conflicts": conflicts, "refused_members": full, "improper_messages": improper,
+		"dropped_packets": dropped, "unknown_datagrams": unknown}
+	return s, true
+}
+
+// Text is the status for people: a line of the view, then one a member.
+func (s Status) Text() string {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s: %d members, epoch %d, digest %s, settled since %s", s.Name, len(s.Settled), s.Epoch, s.Digest, s.SettledSince.Format(time.RFC3339))
+	if s.CutOff {
+		b.WriteString(", CUT OFF")
+	}
+	b.WriteByte('\n')
+	for _, m := range s.Members {
+		fmt.Fprintf(&b, "%-20s %-7s %-8s %-8s %-21s heard %.0f ms ago, since %s\n", m.Name, m.State, m.Zone, m.Version, m.Address, m.HeardMS, m.Since.Format(time.RFC3339))
+	}
+	return b.String()
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,13 +1,15 @@
-package sidecar
+package fleet
 
 import (
 	"bytes"
 	"context"
-	"io"
 	"log/slog"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
+
+	"peatpost/internal/fleet/link"
 )
 
 func udp(t *testing.T) *net.UDPConn {
@@ -22,45 +24,68 @@
 
 func addressOf(conn *net.UDPConn) netip.AddrPort { return conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
-// Peers' datagrams are passed on; those of strangers and those that are too long are not, and the socket ends
-// with its owner.
-func TestPeers(t *testing.T) {
+// News of peers is passed on as it came; that of strangers, what is too long and what is of no channel is not, and
+// with the view off no other channel is there.
+func TestNews(t *testing.T) {
 	friend, stranger := udp(t), udp(t)
 	free := udp(t)
 	own := addressOf(free)
 	free.Close()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	p, err := newPeers(ctx, &Config{peerListen: own, peers: []netip.AddrPort{own, addressOf(friend)},
-		peersAll: addressOf(friend)}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	got := make(chan []byte, 8)
+	f, err := Open(ctx, Options{Listen: own, Peers: []netip.AddrPort{own, addressOf(friend)}, All: addressOf(friend),
+		News: func(data []byte) { got <- data }, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, ended := make(chan []byte, 8), make(chan struct{})
-	go func() {
-		p.receive(func(data []byte) { got <- data })
-		close(ended)
-	}()
 	send := func(from *net.UDPConn, data []byte) {
 		t.Helper()
 		if _, err := from.WriteToUDPAddrPort(data, own); err != nil {
 			t.Fatal(err)
 		}
 	}
-	send(stranger, []byte("strange"))
-	send(friend, bytes.Repeat([]byte("x"), datagramMost+1))
-	send(friend, []byte("news")) // loopback keeps the order
-	if data := <-got; string(data) != "news" {
+	send(stranger, []byte("\x01strange"))
+	send(friend, bytes.Repeat([]byte{1}, link.DatagramMost+1))
+	send(friend, []byte("\x02view"))
+	send(friend, []byte("\x09later"))
+	send(friend, []byte("\x01news")) // loopback keeps the order
+	if data := <-got; string(data) != "\x01news" {
 		t.Errorf("%d bytes passed on, %.10q", len(data), data)
 	}
-	p.tell([]byte("ours"))
+	f.Tell([]byte("\x01ours"))
 	buf := make([]byte, 10)
-	if n, from, err := friend.ReadFromUDPAddrPort(buf); err != nil || string(buf[:n]) != "ours" || from != own {
+	if n, from, err := friend.ReadFromUDPAddrPort(buf); err != nil || string(buf[:n]) != "\x01ours" || from != own {
 		t.Errorf("%q from %v, %v", buf[:n], from, err)
 	}
-	stop()
-	<-ended
 	if len(got) != 0 {
 		t.Errorf("%d more datagrams passed on", len(got))
 	}
+	if counts, unknown := f.link.Counts(); unknown != 3 || counts[link.News].Refused != 1 || counts[link.News].SentDatagrams != 1 {
+		t.Errorf("counts %v, %d unknown", counts, unknown)
+	}
+	if _, on := f.Status(false); on || f.Keep() != nil {
+		t.Error("a view that is off tells something")
+	}
+}
+
+// Errors of the table name the key.
+func TestSettings(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"on":true,"quiet_s":0}`: "quiet_s",
+		`{"probe_ms":1e9}`:        "probe_ms",
+		`{"members":1}`:           "members",
+		`{"datagrams_per_s":-1}`:  "datagrams_per_s",
+		`{"advertise":"host:1"}`:  "advertise",
+		`{"advertise":"[::1]:1"}`: "advertise",
+		`{"quiet":1}`:             "quiet",
+		`{"on":"yes"}`:            "on",
+	} {
+		if _, err := ParseSettings([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	if s, err := ParseSettings(nil); err != nil || s.On || s.QuietS != 1 || s.Members != 1000 {
+		t.Errorf("defaults %+v, %v", s, err)
+	}
 }
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"peatpost/balancer"
+	"peatpost/internal/fleet"
 	"peatpost/internal/wire"
 )
 
@@ -28,6 +29,7 @@
 	Ops       string        // where operators call; empty where nobody does
 	StateDir  string        // where state is kept over a crash; empty for none (the platform gives no lasting disk)
 	StateAge  time.Duration // the oldest kept list that is served from at a start
+	Fleet     fleet.Settings
 	Seed      uint64
 	Limits    Limits
 	Settings  balancer.Settings
@@ -79,6 +81,7 @@
 		PeersAll   string          `json:"peers_all"`
 		StateDir   string          `json:"state_dir"`
 		StateAgeS  *float64        `json:"state_max_age_s"`
+		Fleet      json.RawMessage `json:"fleet"`
 		Settings   json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(data, &file); err != nil {
@@ -132,6 +135,12 @@
 	if err := cfg.readSettings(file.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if cfg.Fleet, err = fleet.ParseSettings(file.Fleet); err == nil {
+		err = cfg.validateFleet()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
 	return cfg, nil
 }
 
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -43,6 +43,9 @@
 		{`"name":"read","repeat":"pure"`, `"name":"read","repeat":"twice"`, "classes.0.repeat"},
 		{`"name":"read","repeat":"pure"`, `"name":"read"`, "classes.0.repeat"},
 		{`"discovery":"subscribe"`, `"discovery":"gossip"`, "discovery"},
+		{`"name":"n3"`, `"fleet":{"quiet_s":-1}`, "fleet: quiet_s"},
+		{`"name":"n3"`, `"name":"n3","fleet":{"on":true}`, "fleet: on: needs peer_listen"},
+		{`"name":"n3"`, `"name":"a/b","peer_listen":"10.0.0.1:1","fleet":{"on":true}`, "fleet: name"},
 	} {
 		bad := strings.Replace(good, c.old, c.new, 1)
 		if bad == good {
--- a/internal/sidecar/durable.go
+++ b/internal/sidecar/durable.go
@@ -164,6 +164,7 @@
 		}
 		sort.Strings(s.Banned)
 	}
+	s.View = l.keepView()
 	for _, k := range l.balancer.Keep(now) {
 		s.Servers = append(s.Servers, state.Server{Host: l.names[k.ID], Base: k.Base, Current: k.Current, Pace: k.Pace, Errs: k.Errs})
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"hash/fnv"
 	"log/slog"
@@ -10,6 +11,7 @@
 	"time"
 
 	"peatpost/balancer"
+	"peatpost/internal/fleet"
 	"peatpost/internal/state"
 )
 
@@ -45,6 +47,7 @@
 	Probed(now balancer.Micros, endpoint uint32, status balancer.Status, latency balancer.Micros, load []float32)
 	Told(now balancer.Micros, data []byte)
 	Share(processes int)
+	Fleet(living int)
 	Ban(now balancer.Micros, id uint32)
 	Unban(now balancer.Micros, id uint32)
 	Keep(now balancer.Micros) []balancer.Kept
@@ -65,7 +68,8 @@
 	ctx      context.Context                // ends with the loop
 	listed   atomic.Bool                    // endpoints are known
 	told     chan struct{}                  // closed once discovery has answered
-	peers    *peers                         // nil where there are none to talk to
+	fleet    atomic.Pointer[fleet.Fleet]    // nil where there is none to talk to, or not yet
+	keptView json.RawMessage                // of the fleet, by an earlier process
 	keeper   *keeper                        // nil where no state is kept
 	kept     *state.Snapshot                // what an earlier process kept, until the start
 	orders   func() *shared                 // what operators ordered; nil without operators
--- a/internal/sidecar/ops.go
+++ b/internal/sidecar/ops.go
@@ -45,6 +45,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", o.ready)
 	mux.HandleFunc("GET /pin-servers", o.tell)
+	mux.HandleFunc("GET /fleet", o.fleet)
 	mux.HandleFunc("POST /pin-servers/disable", o.ban(true))
 	mux.HandleFunc("POST /pin-servers/enable", o.ban(false))
 	mux.HandleFunc("POST /drain", o.drain(true))
@@ -99,6 +100,28 @@
 	}{banned, state.Drained})
 }
 
+// fleet answers with the fleet's view as JSON, or as text where format=text is asked for; brief=1 leaves out members
+// and traffic. 404 where the view is off, 503 where another process of this sidecar keeps it.
+func (o *operators) fleet(w http.ResponseWriter, in *http.Request) {
+	if !o.server.loop.cfg.Fleet.On {
+		http.Error(w, "the view of the fleet is off (fleet.on)", http.StatusNotFound)
+		return
+	}
+	f := o.server.loop.fleet.Load()
+	if f == nil {
+		http.Error(w, "another process of this sidecar keeps the view, or none does yet", http.StatusServiceUnavailable)
+		return
+	}
+	query := in.URL.Query()
+	status, _ := f.Status(query.Get("brief") == "1")
+	if query.Get("format") == "text" {
+		io.WriteString(w, status.Text())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(status)
+}
+
 // ban answers a call that takes a pin server out of use by hand, or into use again.
 func (o *operators) ban(on bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, in *http.Request) {
--- a/internal/sidecar/ops_test.go
+++ b/internal/sidecar/ops_test.go
@@ -51,6 +51,7 @@
 		{"POST", "/ready", "", 405},
 		{"GET", "/drain", "", 405},
 		{"GET", "/health/ready", "", 404},
+		{"GET", "/fleet", "", 404},
 		{"POST", "/pin-servers/disable", "", 400},
 		{"POST", "/pin-servers/disable", " \n", 400},
 		{"POST", "/pin-servers/disable", "s-9", 404},
@@ -308,7 +309,7 @@
 		t.Fatal(err)
 	}
 	defer later.Close()
-	if err := steer(later); err != nil {
+	if err := steer(later.(*net.TCPListener)); err != nil {
 		t.Fatal(err)
 	}
 	const many = 50
@@ -338,7 +339,7 @@
 		t.Fatal(err)
 	}
 	defer next.Close()
-	if err := steer(next); err != nil {
+	if err := steer(next.(*net.TCPListener)); err != nil {
 		t.Fatal(err)
 	}
 	take(next)
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -2,99 +2,120 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
-	"fmt"
-	"log/slog"
-	"net"
-	"net/netip"
+	"syscall"
 	"time"
 
 	"peatpost/balancer"
+	"peatpost/internal/fleet"
 )
 
-const (
-	datagramMost = 256                   // bytes; a longer one is never a peer's
-	tellTimeout  = 10 * time.Millisecond // a datagram that does not leave at once is as good as lost
-	peersPause   = 100 * time.Millisecond
-)
-
-// peers exchanges datagrams with the other sidecars of the tier. They may be
-// lost, and anyone may send one.
-type peers struct {
-	conn *net.UDPConn
-	all  netip.AddrPort
-	from map[netip.AddrPort]bool // where the others send from
-	log  *slog.Logger
-}
-
-// newPeers opens the socket for peers; its owner is ctx.
-func newPeers(ctx context.Context, cfg *Config, log *slog.Logger) (*peers, error) {
-	var config net.ListenConfig
-	if cfg.Ops != "" {
-		config.Control = sharePort
+// fleetOptions is this sidecar's part in the fleet, by its configuration.
+func (l *loop) fleetOptions() fleet.Options {
+	cfg := l.cfg
+	o := fleet.Options{Settings: cfg.Fleet, Name: cfg.Name, State: cfg.StateDir != "", Listen: cfg.peerListen, Peers: cfg.peers,
+		Position: cfg.Settings.Position, All: cfg.peersAll, Kept: l.keptView, Log: l.log}
+	if cfg.Settings.Zone < len(cfg.zones) {
+		o.Zone = cfg.zones[cfg.Settings.Zone]
 	}
-	packets, err := config.ListenPacket(ctx, "udp4", cfg.peerListen.String())
-	if err != nil {
-		return nil, fmt.Errorf("listen to peers: %w", err)
+	if cfg.peersAll.IsValid() && cfg.Settings.Limits.Tell {
+		o.News = func(data []byte) {
+			l.post(func(now balancer.Micros) { l.balancer.Told(now, data) })
+		}
 	}
-	conn := packets.(*net.UDPConn)
-	p := &peers{conn: conn, all: cfg.peersAll, from: map[netip.AddrPort]bool{}, log: log}
-	for _, a := range cfg.peers {
-		p.from[a] = a != cfg.peerListen
+	o.Changed = func(living int) {
+		l.post(func(balancer.Micros) { l.balancer.Fleet(living) })
 	}
-	context.AfterFunc(ctx, func() { conn.Close() })
-	return p, nil
-}
-
-// receive passes on what peers send until the socket is closed.
-func (p *peers) receive(tell func(data []byte)) {
-	buf := make([]byte, datagramMost+1) // a byte more tells that one is too long
-	strangers := 0
-	for {
-		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return
-		case err != nil:
-			p.log.Warn("peers", "error", err)
-			time.Sleep(peersPause) // else a socket in trouble would fill the log
-		case n > datagramMost || !p.from[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]:
-			if strangers++; strangers&(strangers-1) == 0 { // the 1st, 2nd, 4th, 8th ...
-				p.log.Warn("datagram dropped", "from", from, "bytes", n, "dropped", strangers)
+	if cfg.Ops != "" {
+		o.Control = sharePort
+		o.Opened = func(socket syscall.Conn) {
+			if err := steer(socket); cfg.Fleet.On && err != nil {
+				l.log.Warn("datagrams are not steered to this process", "error", err)
 			}
-		default:
-			tell(append([]byte(nil), buf[:n]...))
 		}
 	}
+	return o
 }
 
-// tell sends a message to all the others.
-func (p *peers) tell(data []byte) {
-	p.conn.SetWriteDeadline(time.Now().Add(tellTimeout))
-	if _, err := p.conn.WriteToUDPAddrPort(data, p.all); err != nil {
-		p.log.Debug("peers", "error", err) // as if lost on the way
-	}
-}
-
-// listen starts to take what peers tell.
+// listen starts to take what peers tell, where the view is off: then both processes of an upgrade may.
 func (l *loop) listen(ctx context.Context) error {
-	if !l.cfg.peerListen.IsValid() || !l.cfg.peersAll.IsValid() || !l.cfg.Settings.Limits.Tell {
+	o := l.fleetOptions()
+	if l.cfg.Fleet.On || !o.Listen.IsValid() || o.News == nil {
 		return nil
 	}
-	p, err := newPeers(ctx, l.cfg, l.log)
+	o.Opened = nil
+	f, err := fleet.Open(ctx, o)
 	if err != nil {
 		return err
 	}
-	l.peers = p
-	go p.receive(func(data []byte) {
-		l.post(func(now balancer.Micros) { l.balancer.Told(now, data) })
-	})
+	l.fleet.Store(f)
 	return nil
 }
 
 // Tell sends data to all other sidecars.
 func (l *loop) Tell(data []byte) {
-	if l.peers != nil {
-		l.peers.tell(data)
+	if f := l.fleet.Load(); f != nil {
+		f.Tell(data)
+	}
+}
+
+// keepView is the fleet's view as it should be kept: the latest, or what an earlier process kept.
+func (l *loop) keepView() json.RawMessage {
+	if f := l.fleet.Load(); f != nil {
+		if kept := f.Keep(); kept != nil {
+			return kept
+		}
+	}
+	return l.keptView
+}
+
+const fleetRetry = time.Second // between tries to open the socket for peers
+
+// join is a member of the fleet from when no other process of this sidecar is until ctx ends: two processes of an
+// upgrade are one member, and the later takes over as the earlier is told to end. Datagrams are taken until l's end.
+func (s *server) join(ctx context.Context) {
+	l := s.loop
+	wait := func(d time.Duration) bool {
+		select {
+		case <-time.After(d):
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	for s.store != nil && !s.store.takeFleet() {
+		if !wait(followEvery) {
+			return
+		}
+	}
+	f, err := fleet.Open(l.ctx, l.fleetOptions())
+	for ; err != nil; f, err = fleet.Open(l.ctx, l.fleetOptions()) {
+		l.log.Error("fleet: no part in it yet", "error", err)
+		if !wait(fleetRetry) {
+			return
+		}
+	}
+	l.fleet.Store(f)
+	<-ctx.Done()
+	f.Close(s.store == nil || !s.store.paired())
+	if s.store != nil {
+		s.store.dropFleet()
+	}
+}
+
+// validateFleet says what of the fleet's table cannot be, given the rest of the configuration.
+func (c *Config) validateFleet() error {
+	if !c.Fleet.On {
+		return nil
+	}
+	o := fleet.Options{Settings: c.Fleet, Name: c.Name, Listen: c.peerListen, Peers: c.peers, Position: c.Settings.Position}
+	if c.Settings.Zone < len(c.zones) {
+		o.Zone = c.zones[c.Settings.Zone]
+	}
+	if !c.peerListen.IsValid() {
+		return errors.New("on: needs peer_listen")
 	}
+	_, err := o.Self()
+	return err
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -78,7 +78,9 @@
 		return err
 	}
 	s := newServer(l)
-	l.kept = recallState(cfg, log)
+	if l.kept = recallState(cfg, log); l.kept != nil {
+		l.keptView = l.kept.View
+	}
 	if cfg.StateDir != "" {
 		l.keeper = newKeeper(cfg.StateDir, log)
 	}
@@ -111,6 +113,9 @@
 		go l.run()
 	}
 	go l.follow(reloads)
+	if cfg.Fleet.On {
+		go s.join(ctx)
+	}
 	if paired && !s.awaitList(ctx) { // the other process serves as yet
 		return nil
 	}
@@ -119,7 +124,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	if paired {
-		if err := steer(listener); err != nil {
+		if err := steer(listener.(*net.TCPListener)); err != nil {
 			// The old process empties its queue all the same: a few may be turned back as it closes.
 			log.Warn("new connections are not steered to this process", "error", err)
 		}
@@ -127,10 +132,10 @@
 	return s.serve(ctx, listener)
 }
 
-// steer has all new connections come to the later of two sockets that share an address, so that none can come to
-// the earlier one between its last accept and its close.
-func steer(listener net.Listener) error {
-	raw, err := listener.(*net.TCPListener).SyscallConn()
+// steer has all new connections, or datagrams, come to the later of two sockets that share an address, so that no
+// connection can come to the earlier one between its last accept and its close.
+func steer(socket syscall.Conn) error {
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return err
 	}
--- a/internal/sidecar/store.go
+++ b/internal/sidecar/store.go
@@ -24,10 +24,12 @@
 	lockPatience  = 500 * time.Millisecond // the lock is held for the writing of a small file
 	lockPause     = 5 * time.Millisecond
 
-	// Bytes of the lock file: one to write under, and a seat for each of two processes.
+	// Bytes of the lock file: one to write under, a seat for each of two processes, and one for the process that is
+	// this sidecar's member of the fleet.
 	writeByte = 0
 	seatByte  = 1
 	seats     = 2
+	fleetByte = seatByte + seats
 )
 
 // shared is what the two processes of an upgrade agree on.
@@ -100,6 +102,23 @@
 	return err == nil && other.Type != unix.F_UNLCK
 }
 
+// takeFleet makes this process the sidecar's member of the fleet, unless the other is; where there is no lock file, no
+// other process can be told of.
+func (s *store) takeFleet() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lock == nil || s.flock(unix.F_WRLCK, fleetByte) == nil
+}
+
+// dropFleet lets the other process be the member.
+func (s *store) dropFleet() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lock != nil {
+		s.flock(unix.F_UNLCK, fleetByte)
+	}
+}
+
 // look returns the state by the file as it is now.
 func (s *store) look() shared {
 	s.mu.Lock()
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -95,6 +95,8 @@
 	Servers []Server  `json:"servers"`
 	Epoch   uint64    `json:"epoch"` // of the lease last held; issue 13
 	Stage   string    `json:"stage"` // of the release; issue 15
+
+	View json.RawMessage `json:"view,omitempty"` // the fleet's last settled view, as internal/fleet keeps it
 }
 
 // opsRecord is the body of the record of operators' orders.
@@ -175,7 +177,9 @@
 		fleet := struct {
 			Epoch uint64 `json:"epoch"`
 			Stage string `json:"stage"`
-		}{s.Epoch, s.Stage}
+
+			View json.RawMessage `json:"view,omitempty"`
+		}{s.Epoch, s.Stage, s.View}
 		for i, v := range [len(singles)]any{meta, list, ops, fleet} {
 			if err := put(top, singles[i].key, singles[i].kind, v); err != nil {
 				return err
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -45,7 +45,7 @@
 
 func snapshot(name string, seq uint64, servers int) *Snapshot {
 	s := &Snapshot{Name: name, Written: time.Unix(1_800_000_000, 0).UTC(), Seq: seq, Whole: true,
-		Banned: []string{"h3"}, Drained: seq%2 == 0, Epoch: seq, Stage: "s"}
+		Banned: []string{"h3"}, Drained: seq%2 == 0, Epoch: seq, Stage: "s", View: []byte(`{"epoch":3}`)}
 	for i := range servers {
 		h := fmt.Sprintf("h%05d", i)
 		s.Hosts = append(s.Hosts, Host{Name: h, Dial: "127.0.0.1:1", Site: "a", Class: "m", Health: "ready", Share: 1})
