Show the fleet's view in the lab: fleet.view, how views settle after each fault, dropped

TestViewsOfProcesses plays a crash, a partition, a deaf sidecar, an upgrade, a machine replaced and one killed with its disk kept, and a pause between 4 processes and waits for what each must lead to.

--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -20,14 +20,16 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 
 	"peatpost/internal/lab"
 )
 
 const usage = `usage:
-  bramblelab run [-out DIR] [-sidecar PATH] [-state on|off] [-repeat N] EXPERIMENT.toml
+  bramblelab run [-out DIR] [-sidecar PATH] [-state on|off] [-view on|off] [-repeat N] [-parallel P] EXPERIMENT.toml
   bramblelab search [-out DIR] [-sidecar PATH] [-seeds N] [-first SEED] [-for D] [-parallel P] [-tries K] [-stop N] [-kinds K,K] EXPERIMENT.toml
   bramblelab report [-plot FILE] RESULT.json
   bramblelab compare A.json B.json`
@@ -86,6 +88,8 @@
 	out := flags.String("out", "lab-out", "folder for the result, the plot and the logs")
 	program := flags.String("sidecar", "", "the sidecar's program; overrides the experiment's")
 	keep := flags.String("state", "", `"on" or "off": whether sidecars keep state; overrides the experiment's fleet.state`)
+	view := flags.String("view", "", `"on" or "off": whether sidecars keep a view of the fleet; overrides the experiment's fleet.view`)
+	parallel := flags.Int("parallel", 1, "runs at a time, of those of -repeat")
 	repeat := flags.Int("repeat", 1, "runs, with seeds in a row; figures as distributions in DIR/repeat.json")
 	if err := flags.Parse(args); err != nil {
 		return err
@@ -94,41 +98,33 @@
 	if err != nil {
 		return err
 	}
-	switch *keep {
-	case "":
-	case "on", "off":
-		exp.Fleet.State = *keep == "on"
-	default:
-		return fmt.Errorf("-state: %q is neither on nor off", *keep)
+	for _, o := range []struct {
+		name, value string
+		into        *bool
+	}{{"state", *keep, &exp.Fleet.State}, {"view", *view, &exp.Fleet.View}} {
+		switch o.value {
+		case "":
+		case "on", "off":
+			*o.into = o.value == "on"
+		default:
+			return fmt.Errorf("-%s: %q is neither on nor off", o.name, o.value)
+		}
+	}
+	if exp.Fleet.View && !exp.Fleet.Peers {
+		return errors.New("-view: needs fleet.peers")
 	}
-	if *repeat < 1 || *repeat > 1000 {
-		return fmt.Errorf("-repeat: %d is not within 1 to 1000", *repeat)
+	if *repeat < 1 || *repeat > 1000 || *parallel < 1 || *parallel > 64 {
+		return fmt.Errorf("-repeat %d or -parallel %d is out of range", *repeat, *parallel)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	var results []*lab.Result
+	results, err := runs(ctx, exp, *out, *repeat, *parallel)
+	if err != nil {
+		return err
+	}
 	breaches := 0
-	for n := range *repeat {
-		if ctx.Err() != nil {
-			break // with what it has
-		}
-		one, folder := *exp, *out
-		if *repeat > 1 {
-			one.Seed += uint64(n)
-			folder = filepath.Join(*out, fmt.Sprintf("run-%d", n))
-		}
-		result, err := once(ctx, &one, folder)
-		if err != nil {
-			return err
-		}
-		if ctx.Err() != nil && n > 0 {
-			break // cut short
-		}
-		results = append(results, result)
-		breaches += result.Breaches()
-		if *repeat > 1 {
-			fmt.Fprintf(os.Stderr, "run %d of %d, seed %d: %d breaches\n", n+1, *repeat, one.Seed, result.Breaches())
-		}
+	for _, r := range results {
+		breaches += r.Breaches()
 	}
 	if *repeat > 1 && len(results) > 0 {
 		repeated := lab.Repeat(results)
@@ -145,6 +141,38 @@
 	return nil
 }
 
+// runs plays an experiment with so many seeds in a row, so many at a time. After ctx's end it gives those that were whole.
+func runs(ctx context.Context, exp *lab.Experiment, out string, repeat, parallel int) ([]*lab.Result, error) {
+	all, errs := make([]*lab.Result, repeat), make([]error, repeat)
+	places := make(chan struct{}, parallel)
+	var playing sync.WaitGroup
+	for n := range repeat {
+		places <- struct{}{}
+		if ctx.Err() != nil {
+			break
+		}
+		one, folder := *exp, out
+		if repeat > 1 {
+			one.Seed += uint64(n)
+			folder = filepath.Join(out, fmt.Sprintf("run-%d", n))
+		}
+		playing.Add(1)
+		go func() {
+			defer playing.Done()
+			defer func() { <-places }()
+			result, err := once(ctx, &one, folder)
+			if ctx.Err() != nil && repeat > 1 { // cut short
+				return
+			}
+			if all[n], errs[n] = result, err; err == nil && repeat > 1 {
+				fmt.Fprintf(os.Stderr, "run %d of %d, seed %d: %d breaches\n", n+1, repeat, one.Seed, result.Breaches())
+			}
+		}()
+	}
+	playing.Wait()
+	return slices.DeleteFunc(all, func(r *lab.Result) bool { return r == nil }), errors.Join(errs...)
+}
+
 // once runs an experiment and writes all that it gives into folder.
 func once(ctx context.Context, exp *lab.Experiment, folder string) (*lab.Result, error) {
 	logs := filepath.Join(folder, "logs")
--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -41,6 +41,7 @@
 	if r.Format > 0 {
 		f["lab_late_p99_ms"] = r.Lateness.Timers.P99
 	}
+	r.viewFigures(f)
 	for _, s := range r.Restarts {
 		f["restart_ready_ms"] = max(f["restart_ready_ms"], s.ReadyMs)
 	}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -41,6 +41,7 @@
 	Servers  int      `toml:"servers"`  // 1 to 1000
 	Zones    []string `toml:"zones"`    // servers and sidecars are dealt to them in turn
 	Peers    bool     `toml:"peers"`    // sidecars share probes' answers by datagram, through the lab
+	View     bool     `toml:"view"`     // sidecars keep a view of the fleet; needs peers
 	State    bool     `toml:"state"`    // sidecars keep state on their machine's disk, which outlives their crashes
 	Machines int      `toml:"machines"` // sidecars are dealt to them in turn; 0 for one each
 }
@@ -71,6 +72,7 @@
 //	holder    Field: an object of things held and their tokens; no two sidecars hold one at a time
 //	tokens    Field: as holder; no token is told after a larger one
 //	settled   Field: later than Within after the last fault all running sidecars tell one value
+//	dropped   Field: a list of sidecars; none that has answered for Within is missing from that of a majority
 //	kept      Field: a list; what a yes to call Op put there is not missing later than Within, until Undo
 type Check struct {
 	Kind   string   `toml:"kind"`
@@ -174,7 +176,7 @@
 	machineKinds = []string{"machine-kill", "machine-replace", "machine-pause", "disk"}
 	linkKinds    = []string{"link", "cut", "flap", "split"}
 	opsCalls     = []string{"ban", "enable", "drain", "undrain"}
-	checkKinds   = []string{"register", "holder", "tokens", "settled", "kept"}
+	checkKinds   = []string{"register", "holder", "tokens", "settled", "dropped", "kept"}
 )
 
 // zone and machine are where sidecar i is dealt to.
@@ -221,6 +223,7 @@
 		{e.Fleet.Servers < 1 || e.Fleet.Servers > 1000, "fleet.servers", "is not within 1 to 1000"},
 		{len(e.Fleet.Zones) == 0, "fleet.zones", "is empty"},
 		{e.Fleet.Machines < 0 || e.Fleet.Machines > e.Fleet.Sidecars, "fleet.machines", "is not within 0 to fleet.sidecars"},
+		{e.Fleet.View && !e.Fleet.Peers, "fleet.view", "needs fleet.peers"},
 		{e.Ops.Rate < 0 || e.Ops.Rate > 1000, "ops.rate", "is not within 0 to 1000"},
 		{!e.Ops.On && (e.Ops.Rate > 0 || len(e.Calls) > 0 || len(e.Checks) > 0), "ops.on", "is false, with calls, a rate or checks"},
 		{e.Ops.Servers < 1 || e.Ops.Rate > 0 && e.Ops.Servers > e.Fleet.Servers, "ops.servers", "is not within 1 to fleet.servers"},
--- a/internal/lab/faults_test.go
+++ b/internal/lab/faults_test.go
@@ -31,10 +31,10 @@
 }
 
 // newRig makes 4 sidecars on 2 machines, 2 servers; with started real processes run, otherwise the test speaks for them by datagrams.
-func newRig(t *testing.T, started bool, more string) *rig {
+func newRig(t *testing.T, started bool, more string, fleet ...string) *rig {
 	t.Helper()
 	exp, err := Parse("rig.toml", []byte("duration = \"60s\"\n"+more+
-		"[fleet]\nsidecars = 4\nservers = 2\nmachines = 2\npeers = true\nstate = true\n[load]\nrate = 0\n[ops]\non = true\n"))
+		"[fleet]\nsidecars = 4\nservers = 2\nmachines = 2\npeers = true\nstate = true\n"+strings.Join(fleet, "")+"[load]\nrate = 0\n[ops]\non = true\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -36,6 +36,7 @@
 			}
 		}
 	}
+	started := time.Now()
 	if err := w.sidecars.startAll(); err != nil {
 		return nil, err
 	}
@@ -71,6 +72,9 @@
 	}
 	events := w.history.Events()
 	result := reckon(exp, w.ledger, late, w.blind, played, w.sidecars.Restarts(), events)
+	if exp.Fleet.View && exp.Ops.On {
+		result.Views = settlings(events, played, started, w.ledger.start)
+	}
 	result.Broken, result.Troubles = check(exp, events, running), w.sidecars.Troubles()
 	result.SidecarCPUSeconds, result.SidecarMeanMB, result.SidecarPeakMB = w.sidecars.Cost()
 	result.LabCPUSeconds, result.LabPeakMB = selfCost()
--- a/internal/lab/ops.go
+++ b/internal/lab/ops.go
@@ -120,7 +120,11 @@
 
 // observe asks sidecar i and records each field of the answers.
 func (o *operatorsLab) observe(i int) {
-	for _, path := range o.exp.Ops.Observe {
+	paths := o.exp.Ops.Observe
+	if o.exp.Fleet.View {
+		paths = append(slices.Clone(paths), viewPath)
+	}
+	for _, path := range paths {
 		from := o.ledger.micros()
 		status, text := o.ask(http.MethodGet, i, path, "")
 		to := o.ledger.micros()
@@ -186,6 +190,8 @@
 			add(history.TokensGrow(c.Field, events))
 		case "settled":
 			add(history.Settled(c.Field, running, c.Within.Duration, events))
+		case "dropped":
+			add(dropped(c.Field, c.Within.Duration, events))
 		case "kept":
 			add(history.Kept(c.Field, c.Op, c.Undo, c.Within.Duration, events))
 		}
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -169,6 +169,9 @@
 		list, _ := json.Marshal(known)
 		peers, tell = fmt.Sprintf(`"peer_listen":%q,"peers_all":%q,"peers":%s,`, s.peers.Listen(i), s.peers.Hub(), list), true
 	}
+	if s.exp.Fleet.View {
+		peers += `"fleet":{"on":true},`
+	}
 	return fmt.Appendf(nil, `{"name":"s%d","listen":%q,"discovery":%q,"seed":"%x",%s
 "limits":{"memory_mb":192,"sockets":1024},%s"known":{"seq":0,"whole":true,"hosts":[]},
 "settings":{"areas":%s,"skus":["m"],"stages":["s"],"tenants":[],"discovery":"subscribe",
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -59,6 +59,8 @@
 	Troubles []string        `json:"troubles"` // sidecars that ended by themselves or did not start: breaches
 	Calls    map[string]int  `json:"calls"`    // operators' calls, by op and outcome
 
+	Views []Settling `json:"views,omitempty"` // how the sidecars' views of the fleet settled, with fleet.view and operators
+
 	Restarts []Restart `json:"restarts"` // of sidecars started again after a kill or a term
 
 	SidecarCPUSeconds float64 `json:"sidecar_cpu_s"`   // over all sidecars
@@ -354,6 +356,7 @@
 	if len(r.Calls) > 0 {
 		text += fmt.Sprintf("operators' calls %v; after ban %d\n", r.Calls, r.AfterBan)
 	}
+	text += r.viewSummary()
 	for _, t := range r.Troubles {
 		text += "trouble: " + t + "\n"
 	}
@@ -363,6 +366,25 @@
 	return text
 }
 
+// viewSummary is a line for each of the first faults on how the views settled, and one for the worst of the rest.
+func (r *Result) viewSummary() (text string) {
+	const most = 10
+	worst := -1
+	for i, v := range r.Views {
+		if i >= most {
+			if worst < 0 || v.MaxMs > r.Views[worst].MaxMs {
+				worst = i
+			}
+			continue
+		}
+		text += v.String()
+	}
+	if worst >= 0 {
+		text += fmt.Sprintf("%d more, the slowest: %v", len(r.Views)-most, r.Views[worst])
+	}
+	return text
+}
+
 // restartSummary is a line on the restarts, if any: the median and the worst of each time, the errors summed.
 func (r *Result) restartSummary() string {
 	if len(r.Restarts) == 0 {
--- /dev/null
+++ b/internal/lab/views.go
@@ -0,0 +1,187 @@
+package lab
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"peatpost/internal/lab/history"
+)
+
+// viewPath is asked of every sidecar of an experiment with fleet.view.
+const viewPath = "/fleet?brief=1"
+
+// Settling is how the sidecars' views of the fleet settled after one fault, up
+// to the next. Times are from the fault, by the sidecars' own record of when
+// their view last moved, over those that answered in that time; 0 where none moved.
+type Settling struct {
+	After   string  `json:"after"`   // the fault's label, or "start"
+	AtMs    float64 `json:"at_ms"`   // on the lab's clock; of "start", when the first process was
+	P50Ms   float64 `json:"p50_ms"`  // by when half of the views had moved for the last time,
+	MaxMs   float64 `json:"max_ms"`  // and all
+	Moves   int     `json:"moves"`   // of all views together, seen from outside
+	Digests int     `json:"digests"` // different ones at the end
+	Largest int     `json:"largest"` // members in the largest view at the end
+	CutOff  int     `json:"cut_off"` // sidecars cut off at the end
+}
+
+// String is a line for people.
+func (v Settling) String() string {
+	return fmt.Sprintf("views after %.60s: half moved last at %.0f ms, all %.0f ms; %d moves; %d digests, %d members, %d cut off\n",
+		v.After, v.P50Ms, v.MaxMs, v.Moves, v.Digests, v.Largest, v.CutOff)
+}
+
+// settlings reckons each fault's from what the sidecars told.
+func settlings(events []history.Event, marks []Mark, started, start time.Time) []Settling {
+	type seen struct {
+		at                 int64
+		digest, since, cut string
+		epoch              string
+		members            int
+	}
+	// An answer's fields are observations of one call.
+	type key struct {
+		sidecar string
+		call    int64
+	}
+	answers := map[key]*seen{}
+	for _, e := range events {
+		if e.Kind != history.Observe {
+			continue
+		}
+		k := key{e.Sidecar, e.Call}
+		if answers[k] == nil {
+			answers[k] = &seen{at: e.Call}
+		}
+		switch a := answers[k]; e.Key {
+		case "digest":
+			a.digest = e.Value
+		case "settled_since":
+			a.since = e.Value
+		case "cut_off":
+			a.cut = e.Value
+		case "epoch":
+			a.epoch = e.Value
+		case "settled":
+			a.members = len(e.Set)
+		}
+	}
+	bySidecar := map[string][]*seen{}
+	final := int64(0)
+	for k, a := range answers {
+		final = max(final, a.at)
+		if a.digest != "" {
+			bySidecar[k.sidecar] = append(bySidecar[k.sidecar], a)
+		}
+	}
+	for _, list := range bySidecar {
+		slices.SortFunc(list, func(a, b *seen) int { return cmp.Compare(a.at, b.at) })
+	}
+	phases := []Settling{{After: "start", AtMs: ms(started.Sub(start))}}
+	for _, m := range marks {
+		if last := &phases[len(phases)-1]; m.AtMs-last.AtMs < 1 { // one moment's faults are one
+			last.After += ", " + m.Label
+			continue
+		}
+		phases = append(phases, Settling{After: m.Label, AtMs: m.AtMs})
+	}
+	for i := range phases {
+		p := &phases[i]
+		end := float64(final)/1000 + 1
+		if i+1 < len(phases) {
+			end = phases[i+1].AtMs
+		}
+		digests := map[string]bool{}
+		var took []float64
+		for _, list := range bySidecar {
+			var last *seen
+			before := ""
+			for _, a := range list {
+				at := float64(a.at) / 1000
+				if at >= end {
+					break
+				}
+				if at >= p.AtMs {
+					if before != "" && a.epoch != before {
+						p.Moves++
+					}
+					last = a
+				}
+				before = a.epoch
+			}
+			if last == nil || float64(last.at)/1000 < end-upGap.Seconds()*1000 { // it is down at the end
+				continue
+			}
+			digests[last.digest] = true
+			p.Largest = max(p.Largest, last.members)
+			if last.cut == "true" {
+				p.CutOff++
+			}
+			since, err := time.Parse(time.RFC3339Nano, last.since)
+			if moved := ms(since.Sub(start)); err == nil && moved >= p.AtMs {
+				took = append(took, moved-p.AtMs)
+			} else {
+				took = append(took, 0)
+			}
+		}
+		p.Digests = len(digests)
+		if slices.Sort(took); len(took) > 0 {
+			p.P50Ms, p.MaxMs = took[len(took)/2], took[len(took)-1]
+		}
+	}
+	return phases
+}
+
+// viewFigures are a result's settlings as figures: by the fault's place among all and its kind.
+func (r *Result) viewFigures(f map[string]float64) {
+	for i, p := range r.Views {
+		name := "view " + strconv.Itoa(i) + " " + p.After[:min(len(p.After), 24)]
+		f[name+" p50_ms"], f[name+" max_ms"], f[name+" digests"] = p.P50Ms, p.MaxMs, float64(p.Digests)
+		f[name+" moves"] = float64(p.Moves)
+	}
+}
+
+// upGap is the longest silence of a sidecar's operators' address that still counts as up.
+const upGap = 1500 * time.Millisecond
+
+// dropped checks that no sidecar that has answered for within, without a gap,
+// is missing from what more than half of those that answer told last of field.
+func dropped(field string, within time.Duration, events []history.Event) *history.Break {
+	type state struct {
+		up   int64 // since when it answers
+		last history.Event
+	}
+	all := map[string]*state{}
+	for _, e := range events {
+		if e.Kind != history.Observe || e.Key != field {
+			continue
+		}
+		s := all[e.Sidecar]
+		if s == nil || e.Call-s.last.Return > upGap.Microseconds() {
+			s = &state{up: e.Call}
+			all[e.Sidecar] = s
+		}
+		s.last = e
+		answering := slices.DeleteFunc(slices.Sorted(maps.Keys(all)), func(name string) bool {
+			return e.Call-all[name].last.Return > upGap.Microseconds()
+		})
+		for _, name := range answering {
+			if slices.Contains(e.Set, name) || e.Call-all[name].up < within.Microseconds() {
+				continue
+			}
+			var part []history.Event
+			for _, other := range answering {
+				if !slices.Contains(all[other].last.Set, name) {
+					part = append(part, all[other].last)
+				}
+			}
+			if 2*len(part) > len(answering) {
+				return &history.Break{Check: "dropped", What: name + " answers and is missing from the " + field + " of a majority", Part: part[:min(len(part), 3)]}
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/views_test.go
@@ -0,0 +1,141 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"peatpost/internal/fleet"
+	"peatpost/internal/lab/history"
+)
+
+// view is what sidecar i tells of the fleet; nothing where it does not answer.
+func (r *rig) view(i int) (s fleet.Status) {
+	if status, text := r.ops(http.MethodGet, i, "/fleet", ""); status == http.StatusOK {
+		r.fatal(json.Unmarshal([]byte(text), &s))
+	}
+	return s
+}
+
+// see waits until the sidecars all settled on just these names, cut off or not.
+func (r *rig) see(what string, cutOff bool, names string, sidecars ...int) {
+	r.Helper()
+	last := ""
+	defer func() {
+		if r.Failed() {
+			r.Log("last seen:", last)
+		}
+	}()
+	r.await(what, func() bool {
+		for _, i := range sidecars {
+			s := r.view(i)
+			if last = fmt.Sprintf("s%d: %v, cut off %v", i, s.Settled, s.CutOff); strings.Join(s.Settled, " ") != names || s.CutOff != cutOff {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Real processes keep one view through a crash, a partition, deafness, an upgrade, a machine's loss with its disk and
+// a pause: each fault is seen by those it should be seen by, and after each all are one fleet again.
+func TestViewsOfProcesses(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, true, "", "view = true\n")
+	const all = "s0 s1 s2 s3"
+	everyone := []int{0, 1, 2, 3}
+	r.see("the start", false, all, everyone...)
+	if s := r.view(2); s.Digest != r.view(3).Digest || len(s.Members) != 4 || s.Members[1].Zone != "a" || s.Members[1].State != "alive" ||
+		s.Traffic["packets"].Sent == 0 || s.Members[1].HeardMS < 0 {
+		t.Errorf("the status %+v", s)
+	}
+
+	heal := r.fault(Fault{Kind: "kill", Sidecars: []int{3}})
+	r.see("a crash to be known", false, "s0 s1 s2", 0, 1, 2)
+	heal()
+	r.see("its return", false, all, everyone...)
+
+	heal = r.fault(Fault{Kind: "split", Groups: [][]string{{"s0", "s1"}, {"s2", "s3"}}})
+	r.see("one side of a partition", false, "s0 s1", 0, 1)
+	r.see("its other side", false, "s2 s3", 2, 3)
+	heal()
+	r.see("the partition's end", false, all, everyone...)
+
+	heal = r.fault(Fault{Kind: "isolate", Sidecars: []int{0}, Direction: "in"})
+	r.see("the deaf one to say so", true, all, 0)
+	r.see("the others to go on without it", false, "s1 s2 s3", 1, 2, 3)
+	heal()
+	r.see("it to hear again", false, all, everyone...)
+
+	start := r.view(0).Members[1].Start
+	r.fault(Fault{Kind: "upgrade", Sidecars: []int{1}})
+	r.await("the new process of an upgrade to be the member", func() bool {
+		m := r.view(0).Members
+		return len(m) == 4 && m[1].Start.After(start) && m[1].State == "alive"
+	})
+	r.see("an upgrade's end", false, all, everyone...)
+
+	epoch := r.view(0).Epoch
+	heal = r.fault(Fault{Kind: "machine-replace", Machines: []int{1}}) // s1 and s3
+	r.see("a machine's loss", false, "s0 s2", 0, 2)
+	heal()
+	r.see("a machine back with an empty disk", false, all, everyone...)
+	heal = r.fault(Fault{Kind: "machine-kill", Machines: []int{0}})
+	heal()
+	if now := r.view(0).Epoch; now < epoch {
+		t.Errorf("s0 is back with its disk at epoch %d, was at %d", now, epoch)
+	}
+	r.see("a machine back with its disk", false, all, everyone...)
+
+	heal = r.fault(Fault{Kind: "pause", Sidecars: []int{2}})
+	r.see("a pause to be taken for a crash", false, "s0 s1 s3", 0, 1, 3)
+	heal()
+	r.see("the paused one's return", false, all, everyone...)
+	if relayed, _, oversize, strange := r.peers.Counts(); relayed == 0 || oversize > 0 || strange > 0 {
+		t.Errorf("%d datagrams relayed, %d over 256 bytes, %d of strangers", relayed, oversize, strange)
+	}
+}
+
+// What sidecars told is reckoned by fault: when views moved for the last time, into how many; a majority's dropping of a living one is found.
+func TestSettlings(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0).UTC()
+	var events []history.Event
+	tell := func(sidecar string, atMS, sinceMS int64, epoch string, settled ...string) {
+		for field, value := range map[string]string{"digest": strings.Join(settled, "+"), "epoch": epoch, "cut_off": "false",
+			"settled_since": start.Add(time.Duration(sinceMS) * time.Millisecond).Format(time.RFC3339Nano)} {
+			events = append(events, history.Event{Kind: history.Observe, Sidecar: sidecar, Key: field, Value: value, Call: atMS * 1000, Return: atMS*1000 + 500})
+		}
+		events = append(events, history.Event{Kind: history.Observe, Sidecar: sidecar, Key: "settled", Set: settled, Call: atMS * 1000, Return: atMS*1000 + 500})
+	}
+	for at := int64(0); at < 9000; at += 1000 {
+		for _, s := range []string{"s0", "s1", "s2"} {
+			switch {
+			case s == "s2" && at > 3000: // killed
+			case at < 6000:
+				tell(s, at, -500, "1", "s0", "s1", "s2")
+			case s == "s0":
+				tell(s, at, 5600, "2", "s0", "s1")
+			default:
+				tell(s, at, 5800, "2", "s0", "s1")
+			}
+		}
+	}
+	got := settlings(events, []Mark{{AtMs: 3000, Label: "kill s2"}}, start.Add(-2*time.Second), start)
+	if len(got) != 2 || got[0].MaxMs != 1500 || got[0].Largest != 3 || got[1].MaxMs != 2800 || got[1].P50Ms != 2800 || got[1].Moves != 2 || got[1].Digests != 1 || got[1].Largest != 2 {
+		t.Errorf("reckoned %+v", got)
+	}
+	if b := dropped("settled", 2*time.Second, events); b != nil {
+		t.Errorf("one that was killed is said to be dropped: %v", b)
+	}
+	for at := int64(9000); at < 12_000; at += 1000 {
+		tell("s2", at, 0, "1", "s0", "s1", "s2")
+		tell("s0", at, 5600, "2", "s0", "s1")
+		tell("s1", at, 5800, "2", "s0", "s1")
+	}
+	if b := dropped("settled", 2*time.Second, events); b == nil || len(b.Part) != 2 {
+		t.Errorf("a living one missing from two of three: %v", b)
+	}
+}
