--- a/internal/fleet/view/transport.go
+++ b/internal/fleet/view/transport.go
@@ -24,7 +24,7 @@
 	addr    netip.AddrPort // the own, as the others know it
 	most    int            // states in a push/pull
 	note    said
-	heard   func(from netip.AddrPort, ack bool)
+	heard   func(from netip.AddrPort, what contents)
 	refused func(from net.Addr, err error)
 
 	packets chan *memberlist.Packet
@@ -34,7 +34,7 @@
 	once    sync.Once
 }
 
-func newTransport(l *link.Link, addr netip.AddrPort, most int, note said, heard func(netip.AddrPort, bool), refused func(net.Addr, error)) *transport {
+func newTransport(l *link.Link, addr netip.AddrPort, most int, note said, heard func(netip.AddrPort, contents), refused func(net.Addr, error)) *transport {
 	t := &transport{link: l, addr: addr, most: most, note: note, heard: heard, refused: refused,
 		packets: make(chan *memberlist.Packet, packetsMost), conns: make(chan net.Conn), done: make(chan struct{})}
 	l.Handle(link.Packets, t.packet)
@@ -44,12 +44,12 @@
 }
 
 func (t *transport) packet(from netip.AddrPort, data []byte) bool {
-	ack, err := vetPacket(data[1:], t.note)
+	what, err := vetPacket(data[1:], t.note)
 	if err != nil {
 		t.refused(net.UDPAddrFromAddrPort(from), err)
 		return false
 	}
-	t.heard(from, ack)
+	t.heard(from, what)
 	select {
 	case t.packets <- &memberlist.Packet{Buf: data[1:], From: net.UDPAddrFromAddrPort(from), Timestamp: time.Now()}:
 	case <-t.done:
--- a/internal/fleet/view/vet.go
+++ b/internal/fleet/view/vet.go
@@ -64,38 +64,40 @@
 	return codec.NewDecoder(r, &codec.MsgpackHandle{}).Decode(into)
 }
 
-// vetPacket says why a packet cannot be one of memberlist's, and whether it holds an answer; note is told of what it
-// says of members.
-func vetPacket(data []byte, note said) (ack bool, err error) {
+// contents is what a packet holds: an answer, a probe of a member by its name.
+type contents struct{ ack, probe bool }
+
+// vetPacket says why a packet cannot be one of memberlist's, and what it holds; note is told of what it says of members.
+func vetPacket(data []byte, note said) (what contents, err error) {
 	if len(data) >= crcHead && data[0] == msgHasCRC {
 		if crc32.ChecksumIEEE(data[crcHead:]) != binary.BigEndian.Uint32(data[1:]) {
-			return false, errors.New("checksum does not match")
+			return what, errors.New("checksum does not match")
 		}
 		data = data[crcHead:]
 	}
 	if len(data) < 2 || data[0] != msgCompound {
-		return len(data) > 0 && data[0] == msgAck, vetMessage(data, note)
+		err = vetMessage(data, note, &what)
+		return what, err
 	}
 	parts := int(data[1])
 	if len(data) < 2+2*parts {
-		return false, errors.New("compound: truncated")
+		return what, errors.New("compound: truncated")
 	}
 	lengths, rest := data[2:2+2*parts], data[2+2*parts:]
 	for ; len(lengths) > 0; lengths = lengths[2:] {
 		n := int(binary.BigEndian.Uint16(lengths))
 		if n > len(rest) {
-			return false, errors.New("compound: truncated")
+			return what, errors.New("compound: truncated")
 		}
-		if err := vetMessage(rest[:n], note); err != nil {
-			return false, err
+		if err := vetMessage(rest[:n], note, &what); err != nil {
+			return what, err
 		}
-		ack = ack || rest[0] == msgAck
 		rest = rest[n:]
 	}
-	return ack, nil
+	return what, nil
 }
 
-func vetMessage(data []byte, note said) error {
+func vetMessage(data []byte, note said, what *contents) error {
 	if len(data) == 0 {
 		return errors.New("empty")
 	}
@@ -105,11 +107,13 @@
 	}
 	switch data[0] {
 	case msgPing:
+		what.probe = what.probe || m.Node != ""
 		return errors.Join(checkName("Node", m.Node, 0), checkName("SourceNode", m.SourceNode, 0), checkIP("SourceAddr", m.SourceAddr, true))
 	case msgIndirectPing:
 		return errors.Join(checkName("Node", m.Node, 0), checkName("SourceNode", m.SourceNode, 0), checkIP("SourceAddr", m.SourceAddr, true),
 			checkIP("Target", m.Target, false))
 	case msgAck:
+		what.ack = true
 		if len(m.Payload) > 0 {
 			return errors.New("ack: has a payload")
 		}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -37,7 +37,8 @@
 	pushPullEvery = 75 // probe intervals between exchanges of the whole list (longer beyond 32 members)
 	deadKept      = 30 * time.Second
 	streamTimeout = 5 * time.Second
-	hearWithin    = 6 // probe intervals without a word from anybody: it is cut off
+	hearWithin    = 6  // probe intervals without a word from anybody: it is cut off
+	probedWithin  = 10 // probe intervals without a probe by anybody: the others do not know it
 	packetBytes   = link.DatagramMost - 1 - crcHead
 	goodbyeWait   = 500 * time.Millisecond
 
@@ -45,10 +46,11 @@
 	verifyMost  = 16 // members verified at a time
 
 	rejoinEvery  = 500 * time.Millisecond
-	rejoinPings  = 2               // addresses asked at a time
+	rejoinPings  = 4               // addresses asked at a time
 	rejoinLeast  = rejoinEvery     // between two asks of one address,
 	rejoinMost   = 4 * time.Second // doubled up to this
 	rejoinLost   = 2 * time.Second // from a loss to the first ask
+	rejoinNews   = 5 * time.Second // after a loss, one that others say lives is asked soon
 	rejoinInVain = time.Minute     // after a join of an address that is no member's: an alias, perhaps one's own
 	lostKept     = time.Hour       // a lost member is asked for so long
 )
@@ -123,6 +125,7 @@
 	heard   map[netip.AddrPort]heard // of addresses that are members'
 	words   map[string]word          // what members were last said to be
 	heardAt time.Time                // when anybody of the view's was last heard
+	probed  time.Time                // when anybody last probed this sidecar by its name
 	asked   map[netip.AddrPort]*ask
 
 	verifying chan struct{} // a place each
@@ -159,7 +162,7 @@
 	}
 	now := time.Now()
 	v := &View{o: o, link: l, wake: make(chan struct{}, 1), stop: make(chan struct{}), ended: make(chan struct{}),
-		members: map[string]*Known{}, heard: map[netip.AddrPort]heard{}, words: map[string]word{}, heardAt: now, asked: map[netip.AddrPort]*ask{},
+		members: map[string]*Known{}, heard: map[netip.AddrPort]heard{}, words: map[string]word{}, heardAt: now, probed: now, asked: map[netip.AddrPort]*ask{},
 		verifying: make(chan struct{}, verifyMost)}
 	kept := make([]string, 0, len(o.Kept.Members))
 	for _, m := range o.Kept.Members {
@@ -377,13 +380,16 @@
 	}
 }
 
-// hear notes that a datagram of the view came from an address, and whether it was an answer.
-func (v *View) hear(from netip.AddrPort, ack bool) {
+// hear notes that a datagram of the view came from an address, and what was in it.
+func (v *View) hear(from netip.AddrPort, what contents) {
 	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if what.probe {
+		v.probed = now
+	}
 	if h, ok := v.heard[from]; ok {
-		if h.any = now; ack {
+		if h.any = now; what.ack {
 			h.ack = now
 		}
 		v.heard[from], v.heardAt = h, now
@@ -449,6 +455,16 @@
 	}
 	rand.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
 	ready = ready[:min(len(ready), rejoinPings)]
+	unknown := netip.AddrPort{} // a member to tell of oneself: back at another address before its death was known, nobody probes it
+	if now.Sub(v.probed) > probedWithin*v.o.Probe {
+		v.probed = now // else it would ask at each turn
+		for a := range living {
+			if a != v.o.Self.Addr {
+				unknown = a
+				break
+			}
+		}
+	}
 	for _, a := range ready {
 		k := v.asked[a]
 		if k == nil {
@@ -459,6 +475,9 @@
 		k.wait = min(2*k.wait, rejoinMost)
 	}
 	v.mu.Unlock()
+	if unknown.IsValid() {
+		v.list.Join([]string{unknown.String()})
+	}
 	answered := make(chan netip.AddrPort, len(ready))
 	for _, a := range ready {
 		go func() {
@@ -569,7 +588,15 @@
 func (e events) NotifyAlive(n *memberlist.Node) error {
 	e.v.mu.Lock()
 	defer e.v.mu.Unlock()
-	if e.v.members[n.Name] == nil && len(e.v.members) >= e.v.o.Most && n.Name != e.v.o.Self.Name {
+	k := e.v.members[n.Name]
+	if k != nil && k.State == Failed && time.Since(k.Changed) > rejoinNews {
+		// Somebody thinks that it lives. If it does and this is no news to memberlist, it must hear that it is
+		// thought dead here, to say otherwise.
+		if soon := time.Now().Add(rand.N(rejoinEvery)); e.v.asked[k.Addr] != nil && e.v.asked[k.Addr].at.After(soon) {
+			e.v.asked[k.Addr].at = soon
+		}
+	}
+	if k == nil && len(e.v.members) >= e.v.o.Most && n.Name != e.v.o.Self.Name {
 		if !e.forgetOne() {
 			if c := e.v.full.Add(1); c&(c-1) == 0 {
 				e.v.o.Log.Warn("view: member refused", "name", n.Name, "error", errFull, "refused", c)
