Keep labs apart that run side by side; allow the view without shared news

Each sidecar's datagrams now come to an address of its lab's own subnet. fleet.view no longer needs fleet.peers, so that on and off compare alike. A kept member that cannot be one is left out with a line; asks of seeds that never answered back off to 16 s.

--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -110,9 +110,7 @@
 			return fmt.Errorf("-%s: %q is neither on nor off", o.name, o.value)
 		}
 	}
-	if exp.Fleet.View && !exp.Fleet.Peers {
-		return errors.New("-view: needs fleet.peers")
-	}
+
 	if *repeat < 1 || *repeat > 1000 || *parallel < 1 || *parallel > 64 {
 		return fmt.Errorf("-repeat %d or -parallel %d is out of range", *repeat, *parallel)
 	}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -46,13 +46,14 @@
 	verifyMost  = 16 // members verified at a time
 
 	rejoinEvery  = 500 * time.Millisecond
-	rejoinPings  = 4               // addresses asked at a time
-	rejoinLeast  = rejoinEvery     // between two asks of one address,
-	rejoinMost   = 4 * time.Second // doubled up to this
-	rejoinLost   = 2 * time.Second // from a loss to the first ask
-	rejoinNews   = 5 * time.Second // after a loss, one that others say lives is asked soon
-	rejoinInVain = time.Minute     // after a join of an address that is no member's: an alias, perhaps one's own
-	lostKept     = time.Hour       // a lost member is asked for so long
+	rejoinPings  = 4                // addresses asked at a time
+	rejoinLeast  = rejoinEvery      // between two asks of one address,
+	rejoinMost   = 4 * time.Second  // doubled up to this, for one that was a member,
+	rejoinSeeds  = 16 * time.Second // or to this for others: they may have no view
+	rejoinLost   = 2 * time.Second  // from a loss to the first ask
+	rejoinNews   = 5 * time.Second  // after a loss, one that others say lives is asked soon
+	rejoinInVain = time.Minute      // after a join of an address that is no member's: an alias, perhaps one's own
+	lostKept     = time.Hour        // a lost member is asked for so long
 )
 
 // Options of a View.
@@ -130,6 +131,7 @@
 
 	verifying chan struct{} // a place each
 	pending   sync.WaitGroup
+	closing   bool // nothing more is to become pending
 
 	conflicts, full, improper atomic.Uint64
 }
@@ -161,13 +163,20 @@
 		o.Changed = func(Settled) {}
 	}
 	now := time.Now()
-	v := &View{o: o, link: l, wake: make(chan struct{}, 1), stop: make(chan struct{}), ended: make(chan struct{}),
-		members: map[string]*Known{}, heard: map[netip.AddrPort]heard{}, words: map[string]word{}, heardAt: now, probed: now, asked: map[netip.AddrPort]*ask{},
-		verifying: make(chan struct{}, verifyMost)}
 	kept := make([]string, 0, len(o.Kept.Members))
+	o.Kept.Members = slices.DeleteFunc(slices.Clone(o.Kept.Members), func(m KeptMember) bool {
+		err := checkText(m.Name, 1, NameMost)
+		if err != nil {
+			o.Log.Warn("view: a kept member is not used", "name", m.Name, "error", err)
+		}
+		return err != nil
+	})
 	for _, m := range o.Kept.Members {
 		kept = append(kept, m.Name)
 	}
+	v := &View{o: o, link: l, wake: make(chan struct{}, 1), stop: make(chan struct{}), ended: make(chan struct{}),
+		members: map[string]*Known{}, heard: map[netip.AddrPort]heard{}, words: map[string]word{}, heardAt: now, probed: now, asked: map[netip.AddrPort]*ask{},
+		verifying: make(chan struct{}, verifyMost)}
 	s := newSettler(o.Self.Name, o.Quiet, kept, o.Kept.Epoch, len(v.seeds(nil)) == 0, now)
 	v.publish(s)
 	v.way = newTransport(l, o.Self.Addr, o.Most, v.said, v.hear, v.refused)
@@ -192,6 +201,9 @@
 
 // Close ends the view: with a goodbye where the sidecar goes, without one where another process of it takes over.
 func (v *View) Close(goodbye bool) {
+	v.mu.Lock()
+	v.closing = true
+	v.mu.Unlock()
 	close(v.stop)
 	<-v.ended
 	v.pending.Wait()
@@ -289,6 +301,7 @@
 			living[name] = true
 		} else if now.Sub(k.Changed) > lostKept {
 			delete(v.members, name)
+			delete(v.heard, k.Addr)
 		}
 	}
 	living[v.o.Self.Name] = true
@@ -308,15 +321,6 @@
 	return max(again, time.Millisecond)
 }
 
-func (v *View) stopped() bool {
-	select {
-	case <-v.stop:
-		return true
-	default:
-		return false
-	}
-}
-
 func (v *View) publish(s *settler) {
 	names := s.sorted()
 	v.settled.Store(&Settled{Epoch: s.epoch, Digest: Digest(names), Names: names, Since: s.since, CutOff: s.cutOff})
@@ -430,11 +434,12 @@
 func (v *View) rejoin() {
 	now := time.Now()
 	v.mu.Lock()
-	living := map[netip.AddrPort]bool{}
+	living, were := map[netip.AddrPort]bool{}, map[netip.AddrPort]bool{}
 	for _, k := range v.members {
 		if k.State == Alive {
 			living[k.Addr] = true
 		}
+		were[k.Addr] = k.State == Failed
 	}
 	var ready []netip.AddrPort
 	seeds := v.seeds(living)
@@ -472,7 +477,11 @@
 			v.asked[a] = k
 		}
 		k.at = now.Add(k.wait/2 + rand.N(k.wait))
-		k.wait = min(2*k.wait, rejoinMost)
+		most := rejoinSeeds
+		if were[a] {
+			most = rejoinMost
+		}
+		k.wait = min(2*k.wait, most)
 	}
 	v.mu.Unlock()
 	if unknown.IsValid() {
@@ -566,7 +575,7 @@
 	k.Member = m
 	if k.State != state {
 		k.State, k.Changed = state, time.Now()
-		if state == Failed && !e.v.stopped() {
+		if state == Failed && !e.v.closing {
 			e.v.pending.Add(1)
 			go e.v.verify(m)
 		}
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -173,6 +173,26 @@
 	})
 }
 
+// All restarted at once, and in waves, with empty disks: one view follows, and those not restarted stay in it.
+func TestAllRestart(t *testing.T) {
+	inSim(t, 9, 20, func(s *sim) {
+		s.startAll()
+		s.settles("start", s.running(nil), settleMost)
+		for _, wave := range []int{20, 5} {
+			for from := 0; from < len(s.nodes); from += wave {
+				for _, n := range s.nodes[from : from+wave] {
+					n.end(false)
+				}
+				for _, n := range s.nodes[from : from+wave] {
+					n.start(Options{})
+				}
+				time.Sleep(2 * time.Second)
+			}
+			s.settles(fmt.Sprintf("restarted by %d", wave), s.running(nil), settleMost)
+		}
+	})
+}
+
 // Two sidecars of one name: the first stays, the trouble is counted, and the rest of the fleet does not move.
 func TestTwoOfOneName(t *testing.T) {
 	inSim(t, 6, 6, func(s *sim) {
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -41,11 +41,14 @@
 	Servers  int      `toml:"servers"`  // 1 to 1000
 	Zones    []string `toml:"zones"`    // servers and sidecars are dealt to them in turn
 	Peers    bool     `toml:"peers"`    // sidecars share probes' answers by datagram, through the lab
-	View     bool     `toml:"view"`     // sidecars keep a view of the fleet; needs peers
+	View     bool     `toml:"view"`     // sidecars keep a view of the fleet, by datagrams through the lab
 	State    bool     `toml:"state"`    // sidecars keep state on their machine's disk, which outlives their crashes
 	Machines int      `toml:"machines"` // sidecars are dealt to them in turn; 0 for one each
 }
 
+// datagrams tells whether sidecars have a path between them.
+func (f *Fleet) datagrams() bool { return f.Peers || f.View }
+
 // Ops is the operators: with On every sidecar has an operators' address, is
 // asked there what it knows, and gets random calls.
 type Ops struct {
@@ -223,7 +226,7 @@
 		{e.Fleet.Servers < 1 || e.Fleet.Servers > 1000, "fleet.servers", "is not within 1 to 1000"},
 		{len(e.Fleet.Zones) == 0, "fleet.zones", "is empty"},
 		{e.Fleet.Machines < 0 || e.Fleet.Machines > e.Fleet.Sidecars, "fleet.machines", "is not within 0 to fleet.sidecars"},
-		{e.Fleet.View && !e.Fleet.Peers, "fleet.view", "needs fleet.peers"},
+
 		{e.Ops.Rate < 0 || e.Ops.Rate > 1000, "ops.rate", "is not within 0 to 1000"},
 		{!e.Ops.On && (e.Ops.Rate > 0 || len(e.Calls) > 0 || len(e.Checks) > 0), "ops.on", "is false, with calls, a rate or checks"},
 		{e.Ops.Servers < 1 || e.Ops.Rate > 0 && e.Ops.Servers > e.Fleet.Servers, "ops.servers", "is not within 1 to fleet.servers"},
@@ -278,8 +281,8 @@
 		switch {
 		case !slices.Contains(sidecarKinds, c.Kind) && !slices.Contains(serverKinds, c.Kind):
 			return fmt.Errorf("chaos[%d].kind: %q is not a kind of fault with targets", i, c.Kind)
-		case c.Kind == "isolate" && !e.Fleet.Peers:
-			return fmt.Errorf("chaos[%d].kind: \"isolate\" needs fleet.peers", i)
+		case c.Kind == "isolate" && !e.Fleet.datagrams():
+			return fmt.Errorf("chaos[%d].kind: \"isolate\" needs fleet.peers or fleet.view", i)
 		case c.Count < 0 || c.Count > 1000:
 			return fmt.Errorf("chaos[%d].count: %d is not within 0 to 1000", i, c.Count)
 		case c.For.Duration < 0:
@@ -314,8 +317,8 @@
 		return fmt.Errorf("at: %v is not within the duration", f.At)
 	case f.For.Duration < 0:
 		return fmt.Errorf("for: is negative")
-	case (f.Kind == "isolate" || f.Kind == "peers") && !e.Fleet.Peers:
-		return fmt.Errorf("kind: %q needs fleet.peers", f.Kind)
+	case (f.Kind == "isolate" || f.Kind == "peers") && !e.Fleet.datagrams():
+		return fmt.Errorf("kind: %q needs fleet.peers or fleet.view", f.Kind)
 	case !slices.Contains([]string{"", "both", "in", "out"}, f.Direction):
 		return fmt.Errorf("direction: %q is not \"both\", \"in\" or \"out\"", f.Direction)
 	case f.Rate < 0:
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -130,8 +130,8 @@
 		w.servers = append(w.servers, s)
 		w.disco.Set(host(s, "Ready"), nil)
 	}
-	if exp.Fleet.Peers {
-		if w.peers, err = NewPeers(exp.Fleet.Sidecars, w.network); err != nil {
+	if exp.Fleet.datagrams() {
+		if w.peers, err = NewPeers(exp.Fleet.Sidecars, w.network, sub); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -14,6 +14,8 @@
 // relayBuffer is asked of the system for each of the relay's sockets, in bytes, so that it drops nothing unasked.
 const relayBuffer = 4 << 20
 
+const relayAddress = "127.0.0.1"
+
 // Peers carries the datagrams between sidecars, through the network's faults.
 // A sidecar sends to the hub (its peers_all); the hub sends a copy to every
 // other sidecar from that sender's relay socket, the address that the others
@@ -25,6 +27,7 @@
 	listen []netip.AddrPort       // where sidecar i takes datagrams
 	index  map[netip.AddrPort]int // listen address to sidecar
 	net    *Network
+	sub    subnet
 
 	mu       sync.Mutex
 	relayed  int
@@ -34,18 +37,19 @@
 }
 
 // NewPeers opens the hub, a relay for each of n sidecars, and picks each
-// sidecar's own address.
-func NewPeers(n int, network *Network) (*Peers, error) {
-	open := func() (*net.UDPConn, error) {
-		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+// sidecar's own address, of the lab's subnet: what is sent to it must not
+// come to a sidecar of another lab that runs beside this one.
+func NewPeers(n int, network *Network, sub subnet) (*Peers, error) {
+	open := func(address string) (*net.UDPConn, error) {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(address)})
 		if err == nil {
 			conn.SetReadBuffer(relayBuffer)
 		}
 		return conn, err
 	}
-	p := &Peers{index: map[netip.AddrPort]int{}, net: network}
+	p := &Peers{index: map[netip.AddrPort]int{}, net: network, sub: sub}
 	var err error
-	if p.hub, err = open(); err != nil {
+	if p.hub, err = open(relayAddress); err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
 	var owns []*net.UDPConn // free ports for the sidecars, given back once all relays have theirs
@@ -55,13 +59,13 @@
 		}
 	}()
 	for i := range n {
-		relay, err := open()
+		relay, err := open(relayAddress)
 		if err != nil {
 			p.Close()
 			return nil, fmt.Errorf("peers: %w", err)
 		}
 		p.relays = append(p.relays, relay)
-		own, err := open()
+		own, err := open(sub.address(i))
 		if err != nil {
 			p.Close()
 			return nil, fmt.Errorf("peers: %w", err)
@@ -101,7 +105,7 @@
 
 // Repick gives sidecar i another peer_listen, for a port taken meanwhile.
 func (p *Peers) Repick(i int) error {
-	own, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	own, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(p.sub.address(i))})
 	if err != nil {
 		return err
 	}
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -160,14 +160,14 @@
 func (s *Sidecars) config(i int, listen string) []byte {
 	zones, _ := json.Marshal(s.exp.Fleet.Zones)
 	deadline := s.exp.Load.Deadline.Microseconds()
-	peers, tell := "", false
+	peers := ""
 	if s.peers != nil {
 		var known []string
 		for j := range s.exp.Fleet.Sidecars {
 			known = append(known, s.peers.Known(j))
 		}
 		list, _ := json.Marshal(known)
-		peers, tell = fmt.Sprintf(`"peer_listen":%q,"peers_all":%q,"peers":%s,`, s.peers.Listen(i), s.peers.Hub(), list), true
+		peers = fmt.Sprintf(`"peer_listen":%q,"peers_all":%q,"peers":%s,`, s.peers.Listen(i), s.peers.Hub(), list)
 	}
 	if s.exp.Fleet.View {
 		peers += `"fleet":{"on":true},`
@@ -181,7 +181,7 @@
 "limits":{"may-tell":%t,"cancel":true,"dial-timeout":250000,"keepalive":5000000,"max-retry-after":1500000,"most-held":1000,"most-tries":3,"multiplex":1,"probes":true,"retry-after":true,"second-copies":true},
 "prices":{"probe":1,"peer":0.01},
 "reporting":{"how":"probe","fields":["failed_ps","pending"]},"peers-total":%d,"position":%d,"zone":%d}}`,
-		i, listen, s.disco.listener.At(s.sub.address(i)), s.exp.Seed*1000+uint64(i), peers, s.stateDir(i), zones, deadline*6/10, deadline, deadline*6/10, deadline, tell,
+		i, listen, s.disco.listener.At(s.sub.address(i)), s.exp.Seed*1000+uint64(i), peers, s.stateDir(i), zones, deadline*6/10, deadline, deadline*6/10, deadline, s.exp.Fleet.Peers,
 		s.exp.Fleet.Sidecars, i, i%len(s.exp.Fleet.Zones))
 }
 
--- a/internal/lab/search.go
+++ b/internal/lab/search.go
@@ -203,7 +203,7 @@
 
 func (d *drawer) kinds() []string {
 	kinds := []string{"kill", "pause", "term", "join", "partition", "delay", "reset", "drain", "discovery", "cut"}
-	if d.exp.Fleet.Peers {
+	if d.exp.Fleet.datagrams() {
 		kinds = append(kinds, "isolate", "peers", "link", "flap", "split")
 	}
 	if d.exp.Ops.On {
