Say each thing of the fleet's view once: options, address look-up, settings, a checker's place

Need: a second reading of the change. The sidecar built the fleet's options twice (once to check them), and set and unset the steering by turns; the view scanned for a living member of an address in two places and walked its members twice a step; the settings had a second list of their keys; the checker Dropped stood outside internal/lab/history. Each is once now, and a field that nothing read is gone.

--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -110,7 +110,6 @@
 			return fmt.Errorf("-%s: %q is neither on nor off", o.name, o.value)
 		}
 	}
-
 	if *repeat < 1 || *repeat > 1000 || *parallel < 1 || *parallel > 64 {
 		return fmt.Errorf("-repeat %d or -parallel %d is out of range", *repeat, *parallel)
 	}
@@ -139,8 +138,11 @@
 	return nil
 }
 
-// runs plays an experiment with so many seeds in a row, so many at a time. After ctx's end it gives those that were whole.
+// runs plays an experiment with so many seeds in a row, so many at a time. None begins after ctx's end or an
+// error; it gives those that were whole.
 func runs(ctx context.Context, exp *lab.Experiment, out string, repeat, parallel int) ([]*lab.Result, error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	all, errs := make([]*lab.Result, repeat), make([]error, repeat)
 	places := make(chan struct{}, parallel)
 	var playing sync.WaitGroup
@@ -159,10 +161,15 @@
 			defer playing.Done()
 			defer func() { <-places }()
 			result, err := once(ctx, &one, folder)
-			if ctx.Err() != nil && repeat > 1 { // cut short
+			switch {
+			case ctx.Err() != nil && repeat > 1: // cut short
+				return
+			case err != nil:
+				errs[n] = err
+				stop()
 				return
 			}
-			if all[n], errs[n] = result, err; err == nil && repeat > 1 {
+			if all[n] = result; repeat > 1 {
 				fmt.Fprintf(os.Stderr, "run %d of %d, seed %d: %d breaches\n", n+1, repeat, one.Seed, result.Breaches())
 			}
 		}()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,12 +25,12 @@
 
 // Settings is the configuration's table "fleet".
 type Settings struct {
-	On            bool    // keep a view of the fleet; off by default
-	Advertise     string  // address:port at which the others reach this sidecar; by default its entry in peers, else peer_listen
-	QuietS        float64 // seconds that a change must last, and between views; 1
-	ProbeMS       float64 // milliseconds between probes of the failure detector; 400
-	Members       int     // known at once, the gone included; 1000
-	DatagramsPerS float64 // a second, of the view, with a burst of 4 s; 100
+	On            bool    `json:"on"`              // keep a view of the fleet; off by default
+	Advertise     string  `json:"advertise"`       // address:port at which the others reach this sidecar; by default its entry in peers, else peer_listen
+	QuietS        float64 `json:"quiet_s"`         // seconds that a change must last, and between views; 1
+	ProbeMS       float64 `json:"probe_ms"`        // milliseconds between probes of the failure detector; 400
+	Members       int     `json:"members"`         // known at once, the gone included; 1000
+	DatagramsPerS float64 `json:"datagrams_per_s"` // a second, of the view, with a burst of 4 s; 100
 }
 
 // ParseSettings reads the table from JSON; none or null is the defaults. Errors name the key.
@@ -39,17 +39,9 @@
 	if len(raw) == 0 {
 		return s, nil
 	}
-	file := struct {
-		On            *bool    `json:"on"`
-		Advertise     *string  `json:"advertise"`
-		QuietS        *float64 `json:"quiet_s"`
-		ProbeMS       *float64 `json:"probe_ms"`
-		Members       *int     `json:"members"`
-		DatagramsPerS *float64 `json:"datagrams_per_s"`
-	}{&s.On, &s.Advertise, &s.QuietS, &s.ProbeMS, &s.Members, &s.DatagramsPerS}
 	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&file); err != nil {
+	if err := decoder.Decode(&s); err != nil {
 		return s, err
 	}
 	for _, c := range []struct {
@@ -128,7 +120,8 @@
 
 const sampleEvery = 5 * time.Second
 
-// Open opens the socket and, where it is on, the view; all ends with ctx. News goes on until then, also after Close.
+// Open opens the socket and, where it is on, the view, which Close ends. The socket ends with ctx: news goes on until then, also after a Close
+// with a goodbye.
 func Open(ctx context.Context, o Options) (*Fleet, error) {
 	f := &Fleet{o: o, stop: func() {}}
 	var kept view.Kept
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -113,7 +113,6 @@
 // View is one sidecar's list of the fleet.
 type View struct {
 	o     Options
-	link  *link.Link
 	way   *transport
 	list  *memberlist.Memberlist
 	wake  chan struct{}
@@ -163,18 +162,17 @@
 		o.Changed = func(Settled) {}
 	}
 	now := time.Now()
-	kept := make([]string, 0, len(o.Kept.Members))
+	var kept []string
 	o.Kept.Members = slices.DeleteFunc(slices.Clone(o.Kept.Members), func(m KeptMember) bool {
 		err := checkText(m.Name, 1, NameMost)
 		if err != nil {
 			o.Log.Warn("view: a kept member is not used", "name", m.Name, "error", err)
+		} else {
+			kept = append(kept, m.Name)
 		}
 		return err != nil
 	})
-	for _, m := range o.Kept.Members {
-		kept = append(kept, m.Name)
-	}
-	v := &View{o: o, link: l, wake: make(chan struct{}, 1), stop: make(chan struct{}), ended: make(chan struct{}),
+	v := &View{o: o, wake: make(chan struct{}, 1), stop: make(chan struct{}), ended: make(chan struct{}),
 		members: map[string]*Known{}, heard: map[netip.AddrPort]heard{}, words: map[string]word{}, heardAt: now, probed: now, asked: map[netip.AddrPort]*ask{},
 		verifying: make(chan struct{}, verifyMost)}
 	s := newSettler(o.Self.Name, o.Quiet, kept, o.Kept.Epoch, len(v.seeds(nil)) == 0, now)
@@ -295,8 +293,9 @@
 func (v *View) step(s *settler) time.Duration {
 	now := time.Now()
 	v.mu.Lock()
-	living := map[string]bool{}
+	living, left := map[string]bool{}, map[string]bool{}
 	for name, k := range v.members {
+		left[name] = k.State == Left
 		if k.State == Alive || v.answers(k) {
 			living[name] = true
 		} else if now.Sub(k.Changed) > lostKept {
@@ -305,10 +304,7 @@
 		}
 	}
 	living[v.o.Self.Name] = true
-	left := map[string]bool{}
-	for name, k := range v.members {
-		left[name] = k.State == Left
-	}
+
 	hears := now.Sub(v.heardAt) < hearWithin*v.o.Probe
 	v.mu.Unlock()
 	changed, again := s.step(now, living, func(name string) bool { return left[name] }, hears)
@@ -345,10 +341,8 @@
 	if k.State != Failed || !v.heard[k.Addr].ack.After(k.Changed) {
 		return false
 	}
-	for _, other := range v.members {
-		if other.State == Alive && other.Addr == k.Addr { // another sidecar has its address
-			return false
-		}
+	if v.aliveAt(k.Addr) { // another sidecar has its address
+		return false
 	}
 	return time.Since(v.heard[k.Addr].ack) < v.o.Quiet+2*rejoinMost
 }
@@ -498,7 +492,10 @@
 	}
 	for range ready {
 		a := <-answered
-		if !a.IsValid() || v.alive(a) {
+		v.mu.Lock()
+		joined := v.aliveAt(a)
+		v.mu.Unlock()
+		if !a.IsValid() || joined {
 			continue
 		}
 		if _, err := v.list.Join([]string{a.String()}); err != nil {
@@ -506,7 +503,7 @@
 			continue
 		}
 		v.mu.Lock()
-		if k := v.asked[a]; k != nil && !v.aliveLocked(a) {
+		if k := v.asked[a]; k != nil && !v.aliveAt(a) {
 			k.at = now.Add(rejoinInVain/2 + rand.N(rejoinInVain))
 		}
 		v.mu.Unlock()
@@ -528,13 +525,8 @@
 	return v.heard[a].ack.After(asked)
 }
 
-func (v *View) alive(a netip.AddrPort) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.aliveLocked(a)
-}
-
-func (v *View) aliveLocked(a netip.AddrPort) bool {
+// aliveAt tells whether a living member is at an address. It holds the view's lock.
+func (v *View) aliveAt(a netip.AddrPort) bool {
 	for _, k := range v.members {
 		if k.State == Alive && k.Addr == a {
 			return true
--- a/internal/lab/history/check.go
+++ b/internal/lab/history/check.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -300,3 +301,45 @@
 	}
 	return nil
 }
+
+// UpGap is the longest silence of a sidecar that still counts as up.
+const UpGap = 1500 * time.Millisecond
+
+// Dropped checks that no sidecar that has answered for within, without a gap,
+// is missing from what more than half of those that answer told last of field.
+func Dropped(field string, within time.Duration, events []Event) *Break {
+	type state struct {
+		up   int64 // since when it answers
+		last Event
+	}
+	all := map[string]*state{}
+	for _, e := range events {
+		if e.Kind != Observe || e.Key != field {
+			continue
+		}
+		s := all[e.Sidecar]
+		if s == nil || e.Call-s.last.Return > UpGap.Microseconds() {
+			s = &state{up: e.Call}
+			all[e.Sidecar] = s
+		}
+		s.last = e
+		answering := slices.DeleteFunc(slices.Sorted(maps.Keys(all)), func(name string) bool {
+			return e.Call-all[name].last.Return > UpGap.Microseconds()
+		})
+		for _, name := range answering {
+			if slices.Contains(e.Set, name) || e.Call-all[name].up < within.Microseconds() {
+				continue
+			}
+			var part []Event
+			for _, other := range answering {
+				if !slices.Contains(all[other].last.Set, name) {
+					part = append(part, all[other].last)
+				}
+			}
+			if 2*len(part) > len(answering) {
+				return &Break{Check: "dropped", What: name + " answers and is missing from the " + field + " of a majority", Part: part[:min(len(part), 3)]}
+			}
+		}
+	}
+	return nil
+}
--- a/internal/lab/ops.go
+++ b/internal/lab/ops.go
@@ -191,7 +191,7 @@
 		case "settled":
 			add(history.Settled(c.Field, running, c.Within.Duration, events))
 		case "dropped":
-			add(dropped(c.Field, c.Within.Duration, events))
+			add(history.Dropped(c.Field, c.Within.Duration, events))
 		case "kept":
 			add(history.Kept(c.Field, c.Op, c.Undo, c.Within.Duration, events))
 		}
--- a/internal/lab/views.go
+++ b/internal/lab/views.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -112,7 +111,7 @@
 				}
 				before = a.epoch
 			}
-			if last == nil || float64(last.at)/1000 < end-upGap.Seconds()*1000 { // it is down at the end
+			if last == nil || float64(last.at)/1000 < end-history.UpGap.Seconds()*1000 { // it is down at the end
 				continue
 			}
 			digests[last.digest] = true
@@ -143,45 +142,3 @@
 		f[name+" moves"] = float64(p.Moves)
 	}
 }
-
-// upGap is the longest silence of a sidecar's operators' address that still counts as up.
-const upGap = 1500 * time.Millisecond
-
-// dropped checks that no sidecar that has answered for within, without a gap,
-// is missing from what more than half of those that answer told last of field.
-func dropped(field string, within time.Duration, events []history.Event) *history.Break {
-	type state struct {
-		up   int64 // since when it answers
-		last history.Event
-	}
-	all := map[string]*state{}
-	for _, e := range events {
-		if e.Kind != history.Observe || e.Key != field {
-			continue
-		}
-		s := all[e.Sidecar]
-		if s == nil || e.Call-s.last.Return > upGap.Microseconds() {
-			s = &state{up: e.Call}
-			all[e.Sidecar] = s
-		}
-		s.last = e
-		answering := slices.DeleteFunc(slices.Sorted(maps.Keys(all)), func(name string) bool {
-			return e.Call-all[name].last.Return > upGap.Microseconds()
-		})
-		for _, name := range answering {
-			if slices.Contains(e.Set, name) || e.Call-all[name].up < within.Microseconds() {
-				continue
-			}
-			var part []history.Event
-			for _, other := range answering {
-				if !slices.Contains(all[other].last.Set, name) {
-					part = append(part, all[other].last)
-				}
-			}
-			if 2*len(part) > len(answering) {
-				return &history.Break{Check: "dropped", What: name + " answers and is missing from the " + field + " of a majority", Part: part[:min(len(part), 3)]}
-			}
-		}
-	}
-	return nil
-}
--- a/internal/lab/views_test.go
+++ b/internal/lab/views_test.go
@@ -127,7 +127,7 @@
 	if len(got) != 2 || got[0].MaxMs != 1500 || got[0].Largest != 3 || got[1].MaxMs != 2800 || got[1].P50Ms != 2800 || got[1].Moves != 2 || got[1].Digests != 1 || got[1].Largest != 2 {
 		t.Errorf("reckoned %+v", got)
 	}
-	if b := dropped("settled", 2*time.Second, events); b != nil {
+	if b := history.Dropped("settled", 2*time.Second, events); b != nil {
 		t.Errorf("one that was killed is said to be dropped: %v", b)
 	}
 	for at := int64(9000); at < 12_000; at += 1000 {
@@ -135,7 +135,7 @@
 		tell("s0", at, 5600, "2", "s0", "s1")
 		tell("s1", at, 5800, "2", "s0", "s1")
 	}
-	if b := dropped("settled", 2*time.Second, events); b == nil || len(b.Part) != 2 {
+	if b := history.Dropped("settled", 2*time.Second, events); b == nil || len(b.Part) != 2 {
 		t.Errorf("a living one missing from two of three: %v", b)
 	}
 }
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -12,14 +12,23 @@
 )
 
 // fleetOptions is this sidecar's part in the fleet, by its configuration.
-func (l *loop) fleetOptions() fleet.Options {
-	cfg := l.cfg
-	o := fleet.Options{Settings: cfg.Fleet, Name: cfg.Name, State: cfg.StateDir != "", Listen: cfg.peerListen, Peers: cfg.peers,
-		Position: cfg.Settings.Position, All: cfg.peersAll, Kept: l.keptView, Log: l.log}
-	if cfg.Settings.Zone < len(cfg.zones) {
-		o.Zone = cfg.zones[cfg.Settings.Zone]
+func (c *Config) fleetOptions() fleet.Options {
+	o := fleet.Options{Settings: c.Fleet, Name: c.Name, State: c.StateDir != "", Listen: c.peerListen, Peers: c.peers,
+		Position: c.Settings.Position, All: c.peersAll}
+	if c.Settings.Zone < len(c.zones) {
+		o.Zone = c.zones[c.Settings.Zone]
 	}
-	if cfg.peersAll.IsValid() && cfg.Settings.Limits.Tell {
+	if c.Ops != "" {
+		o.Control = sharePort
+	}
+	return o
+}
+
+// fleetOptions is the configuration's, with what takes the fleet's events.
+func (l *loop) fleetOptions() fleet.Options {
+	o := l.cfg.fleetOptions()
+	o.Kept, o.Log = l.keptView, l.log
+	if o.All.IsValid() && l.cfg.Settings.Limits.Tell {
 		o.News = func(data []byte) {
 			l.post(func(now balancer.Micros) { l.balancer.Told(now, data) })
 		}
@@ -27,14 +36,6 @@
 	o.Changed = func(living int) {
 		l.post(func(balancer.Micros) { l.balancer.Fleet(living) })
 	}
-	if cfg.Ops != "" {
-		o.Control = sharePort
-		o.Opened = func(socket syscall.Conn) {
-			if err := steer(socket); cfg.Fleet.On && err != nil {
-				l.log.Warn("datagrams are not steered to this process", "error", err)
-			}
-		}
-	}
 	return o
 }
 
@@ -44,7 +45,6 @@
 	if l.cfg.Fleet.On || !o.Listen.IsValid() || o.News == nil {
 		return nil
 	}
-	o.Opened = nil
 	f, err := fleet.Open(ctx, o)
 	if err != nil {
 		return err
@@ -89,8 +89,16 @@
 			return
 		}
 	}
-	f, err := fleet.Open(l.ctx, l.fleetOptions())
-	for ; err != nil; f, err = fleet.Open(l.ctx, l.fleetOptions()) {
+	o := l.fleetOptions()
+	if s.store != nil { // a process of an earlier release may still have a socket of this address
+		o.Opened = func(socket syscall.Conn) {
+			if err := steer(socket); err != nil {
+				l.log.Warn("datagrams are not steered to this process", "error", err)
+			}
+		}
+	}
+	f, err := fleet.Open(l.ctx, o)
+	for ; err != nil; f, err = fleet.Open(l.ctx, o) {
 		l.log.Error("fleet: no part in it yet", "error", err)
 		if !wait(fleetRetry) {
 			return
@@ -109,13 +117,10 @@
 	if !c.Fleet.On {
 		return nil
 	}
-	o := fleet.Options{Settings: c.Fleet, Name: c.Name, Listen: c.peerListen, Peers: c.peers, Position: c.Settings.Position}
-	if c.Settings.Zone < len(c.zones) {
-		o.Zone = c.zones[c.Settings.Zone]
-	}
 	if !c.peerListen.IsValid() {
 		return errors.New("on: needs peer_listen")
 	}
+	o := c.fleetOptions()
 	_, err := o.Self()
 	return err
 }
