End a client's connection by one lingering close, and read nothing after it

A connection evicted for room while its first request was read went on to be sent (server.go, proper() was not asked). One to three bytes of a request held a connection for the idle time, or for ever. Ruled out: http.Server.Close and Shutdown lose nothing here, since the end waits for all to be closed. Change: clientConn reads and notes what was read under one lock, and ends in one way: shut for writing, nothing read as a request any more, what comes dropped within bounds of time and bytes, closed. The tests' clientConn over a pipe now has sockets, since it reads them itself.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -1,11 +1,11 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
-	"errors"
 	"net"
 	"net/http"
-	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,67 +17,16 @@
 // freshLeast is how long a new connection is left to send its first byte before it counts as at rest.
 const freshLeast = 500 * time.Millisecond
 
-// clients keeps the connections that clients hold, and bounds their number.
+// clients keeps the connections that clients hold, and bounds their number. It holds mu over no call of a connection,
+// which may call back.
 type clients struct {
-	most int
-
 	mu       sync.Mutex
+	most     int
 	rest     time.Duration // restLeast, but for tests
-	conns    map[net.Conn]*client
+	conns    map[*clientConn]*client
 	accepted int // since the start
 }
 
-// clientListener wraps what it accepts, so that a connection tells more of what was read from it.
-type clientListener struct{ net.Listener }
-
-// Accept waits for the next client.
-func (l clientListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// Accepting was to end, and nobody waits: one who comes between this and the close is turned back.
-		return nil, errors.Join(net.ErrClosed, l.Close())
-	}
-	if err != nil {
-		return nil, err
-	}
-	return &clientConn{Conn: conn, framing: newFraming()}, nil
-}
-
-type clientConn struct {
-	net.Conn
-
-	mu      sync.Mutex
-	framing framing
-	taken   int // requests
-}
-
-// Read notes what has come.
-func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.mu.Lock()
-		c.framing.read(p[:n])
-		c.mu.Unlock()
-	}
-	return n, err
-}
-
-// coming says whether something of a request has come that was not taken yet. When it came does not tell: a client
-// may begin its next request before the server knows that the last one is done.
-func (c *clientConn) coming() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.framing.begun || c.framing.heads > c.taken
-}
-
-// take counts a request and says whether its head contradicted itself on where it ends.
-func (c *clientConn) take() (conflict bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.taken++
-	return c.taken == c.framing.conflict
-}
-
 // client is one connection from a client.
 type client struct {
 	state  http.ConnState
@@ -88,9 +37,12 @@
 type clientKey struct{}
 
 func newClients(most int) *clients {
-	return &clients{most: most, rest: restLeast, conns: map[net.Conn]*client{}}
+	return &clients{most: most, rest: restLeast, conns: map[*clientConn]*client{}}
 }
 
+// connOf returns the connection that a request came on.
+func connOf(in *http.Request) *clientConn { return in.Context().Value(clientKey{}).(*clientConn) }
+
 // bound sets how many connections there may be. Those beyond it are left to end.
 func (c *clients) bound(most int) {
 	c.mu.Lock()
@@ -98,13 +50,16 @@
 	c.most = most
 }
 
-// full says whether there are more connections than there may be.
-func (c *clients) full() bool {
+// room is how many more connections there may be.
+func (c *clients) room() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.conns) > c.most
+	return c.most - len(c.conns)
 }
 
+// full says whether there are more connections than there may be.
+func (c *clients) full() bool { return c.room() < 0 }
+
 // name is the HTTP server's hook that lets a handler name its connection.
 func (c *clients) name(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, clientKey{}, conn)
@@ -112,73 +67,123 @@
 
 // note is the HTTP server's hook for a connection's change of state.
 func (c *clients) note(conn net.Conn, state http.ConnState) {
+	own := conn.(*clientConn)
+	if state == http.StateNew {
+		if c.room() <= 0 {
+			c.evict()
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.accepted++
+		c.conns[own] = &client{state: state, since: time.Now()}
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		c.accepted++
-		c.conns[conn] = &client{state: state, since: time.Now()}
-		if len(c.conns) > c.most {
-			c.evict(conn)
-		}
-	case http.StateClosed, http.StateHijacked:
-		delete(c.conns, conn)
-	default:
-		if k := c.conns[conn]; k != nil { // else it was evicted meanwhile
-			k.state, k.since = state, time.Now()
-		}
+	if k := c.conns[own]; k != nil { // else it is closed: one that has ended counts until it has sent all off
+		k.state, k.since = state, time.Now()
 	}
 }
 
-// evict closes the connection that can best be spared: the oldest on which no
-// proper request has come yet, or else the one at rest for longest, but not the
-// newcomer, which is owed an answer. It holds c.mu. Without it, peers that say
-// nothing would leave no descriptor to accept a client with.
-func (c *clients) evict(newcomer net.Conn) {
-	var victim net.Conn
-	var least *client
+// evict closes the connection that can best be spared: the oldest that has ended but for what it may still send, then
+// the oldest on which no proper request has come yet, and then the one at rest for longest. Without it, peers that say
+// nothing would leave no descriptor to accept a client with. The newcomer is owed an answer, and is not among them yet.
+func (c *clients) evict() {
+	type candidate struct {
+		conn  *clientConn
+		rank  int
+		since time.Time
+	}
+	var all []candidate
+	c.mu.Lock()
 	for conn, k := range c.conns {
-		if conn == newcomer || k.proper && (k.state != http.StateIdle || time.Since(k.since) < c.rest) {
-			continue
-		}
-		if least == nil || !k.proper && least.proper || k.proper == least.proper && k.since.Before(least.since) {
-			victim, least = conn, k
+		switch {
+		case k.state == http.StateClosed:
+			all = append(all, candidate{conn, 0, k.since})
+		case !k.proper:
+			all = append(all, candidate{conn, 1, k.since})
+		case k.state == http.StateIdle && time.Since(k.since) >= c.rest:
+			all = append(all, candidate{conn, 2, k.since})
 		}
 	}
-	if victim != nil {
-		victim.Close()
-		delete(c.conns, victim)
+	c.mu.Unlock()
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), a.since.Compare(b.since))
+	})
+	for _, v := range all {
+		if v.conn.evict(v.rank == 2) {
+			return
+		}
 	}
 }
 
 // closeIdle closes the connections at rest for at least so long, but for those on which a request is coming in:
 // the client would have to send it again elsewhere. One on which nothing has come yet gets freshLeast for it.
 func (c *clients) closeIdle(least time.Duration) {
+	var all []*clientConn
+	c.mu.Lock()
+	for conn, k := range c.conns {
+		at := time.Since(k.since)
+		if k.state == http.StateIdle && at >= least || k.state == http.StateNew && at >= max(least, freshLeast) {
+			all = append(all, conn)
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range all {
+		conn.closeIdle()
+	}
+}
+
+// closeStalled closes connections on which a head's first bytes came long ago, and no more: net/http would wait for
+// the first four without end.
+func (c *clients) closeStalled() {
+	before := time.Now().Add(-paceSlack)
+	var all []*clientConn
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	for conn, k := range c.conns {
-		switch at := time.Since(k.since); {
-		case k.state == http.StateIdle && at >= least:
-		case k.state == http.StateNew && at >= max(least, freshLeast):
-		default:
-			continue
+		if k.state == http.StateIdle && k.since.Before(before) {
+			all = append(all, conn)
 		}
-		if own, ok := conn.(*clientConn); ok && (own.coming() || !quiet(own.Conn)) {
-			continue
+	}
+	c.mu.Unlock()
+	for _, conn := range all {
+		conn.closeIf(func() bool { return !conn.begun.IsZero() && conn.begun.Before(before) })
+	}
+}
+
+// sweep closes, until ctx ends, what has been at rest for too long, or stalls.
+func (c *clients) sweep(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			c.closeIdle(idleTimeout)
+			c.closeStalled()
+		case <-ctx.Done():
+			return
 		}
-		conn.Close()
-		delete(c.conns, conn)
 	}
 }
 
-// proper marks the connection of a handler's context as one of the application's.
-func (c *clients) proper(ctx context.Context) {
-	conn, _ := ctx.Value(clientKey{}).(net.Conn)
+// markProper marks a connection as one of the application's. It returns false if it was evicted meanwhile.
+func (c *clients) markProper(conn *clientConn) bool {
+	if !conn.markProper() {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if k := c.conns[conn]; k != nil {
 		k.proper = true
 	}
+	return true
+}
+
+// remove forgets a connection that is closed.
+func (c *clients) remove(conn *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.conns, conn)
 }
 
 // open counts the connections.
--- /dev/null
+++ b/internal/sidecar/conn.go
@@ -0,0 +1,238 @@
+package sidecar
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// lingerMost is how long a connection that has ended may go on sending before it is reset. A bad client is owed
+	// an end within 3 s of connecting; one that sent a proper request may first have to write a long body, and gets
+	// the time that its pace earns.
+	lingerMost = 2 * time.Second
+)
+
+// clientListener wraps what it accepts, so that a connection tells more of what was read from it.
+type clientListener struct {
+	net.Listener
+	clients *clients
+}
+
+// Accept waits for the next client.
+func (l clientListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// Accepting was to end, and nobody waits: one who comes between this and the close is turned back.
+		return nil, errors.Join(net.ErrClosed, l.Close())
+	}
+	if err != nil {
+		return nil, err
+	}
+	return newClientConn(conn, l.clients)
+}
+
+// clientConn is a connection from a client. Whoever ends it, a handler, a sweep, a time-out or net/http itself, does so
+// by Close: what was written is sent off, nothing that comes after that is read as a request, and the connection is
+// closed once the client has closed its side, or after a while.
+type clientConn struct {
+	net.Conn                 // the system's; its own Read and Close pass by all that is said above
+	raw      syscall.RawConn // the same
+	owner    *clients
+
+	mu      sync.Mutex // held over a read from the system and what it means
+	framing framing
+	taken   int       // requests
+	begun   time.Time // when the first byte came of a head that is not whole yet
+	closing bool      // nothing that comes is read as a request any more
+	ended   bool      // all that the client sent was read, to its end or its reset
+	proper  bool      // a whole proper request has come on it
+}
+
+func newClientConn(conn net.Conn, owner *clients) (*clientConn, error) {
+	own, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.Join(errors.New("a client's connection is no socket"), conn.Close())
+	}
+	raw, err := own.SyscallConn()
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	c := &clientConn{Conn: conn, raw: raw, owner: owner, framing: newFraming()}
+	return c, nil
+}
+
+// Read reads what has come, and notes it. That is one step for whoever would end the connection: either the bytes were
+// read before, and are seen as a request on its way, or they never are.
+func (c *clientConn) Read(p []byte) (n int, err error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	failed := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.closing {
+			n, err = 0, io.EOF
+			return true
+		}
+		n, err = receive(fd, p)
+		switch {
+		case err == syscall.EAGAIN:
+			n, err = 0, nil
+			return false
+		case err != nil:
+			n, err = 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+		case n == 0:
+			err = io.EOF
+		default:
+			c.note(p[:n])
+			return true
+		}
+		c.ended = true
+		return true
+	})
+	if failed != nil && err == nil {
+		n, err = 0, failed
+		var op *net.OpError
+		if errors.As(failed, &op) {
+			op.Op = "read" // net/http answers no error of that name
+		}
+	}
+	return n, err
+}
+
+// receive reads from a socket without waiting.
+func receive(fd uintptr, p []byte) (n int, err error) {
+	for {
+		if n, err = syscall.Read(int(fd), p); err != syscall.EINTR {
+			return n, err
+		}
+	}
+}
+
+// note takes in what was read. It holds c.mu.
+func (c *clientConn) note(p []byte) {
+	c.framing.read(p)
+	if !c.framing.begun {
+		c.begun = time.Time{}
+	} else if c.begun.IsZero() {
+		c.begun = time.Now()
+	}
+}
+
+// coming says whether something of a request has come that was not taken yet. When it came does not tell: a client
+// may begin its next request before the server knows that the last one is done.
+func (c *clientConn) coming() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.comes()
+}
+
+func (c *clientConn) comes() bool { return c.framing.begun || c.framing.heads > c.taken }
+
+// take counts a request and says whether its head contradicted itself on where it ends.
+func (c *clientConn) take() (conflict bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taken++
+	return c.taken == c.framing.conflict
+}
+
+// Close ends the connection: see clientConn. It does not wait, and may come any number of times.
+func (c *clientConn) Close() error {
+	c.closeIf(func() bool { return true })
+	return nil
+}
+
+// closeIdle ends the connection unless something of a request has come, read or not.
+func (c *clientConn) closeIdle() {
+	c.closeIf(func() bool { return !c.comes() && quiet(c.Conn) })
+}
+
+// closeIf ends the connection where this may be. What is asked of it holds until nothing is read any more.
+func (c *clientConn) closeIf(may func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || !may() {
+		return
+	}
+	c.closing = true
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if c.ended || !ok || half.CloseWrite() != nil {
+		c.drop()
+		return
+	}
+	c.Conn.SetReadDeadline(longAgo) // whoever reads is to return
+	go c.linger(c.proper)
+}
+
+// linger reads and drops what still comes, until the client closes its side: closed over bytes that were not read, the
+// connection would be reset, and an answer on its way be lost with it.
+func (c *clientConn) linger(proper bool) {
+	defer c.drop()
+	most := time.Now().Add(lingerMost)
+	for p := (pace{}); p.bytes <= requestMost; time.Sleep(discardPause) {
+		start := time.Now()
+		until := start.Add(min(lingerMost, p.allows()))
+		if !proper && most.Before(until) {
+			until = most
+		}
+		if !start.Before(until) || c.Conn.SetReadDeadline(until) != nil {
+			return
+		}
+		n := 0
+		failed := c.raw.Read(func(fd uintptr) bool {
+			buffer := buffers.Get().(*[bufferBytes]byte) // not held while nothing comes
+			defer buffers.Put(buffer)
+			var err error
+			n, err = receive(fd, buffer[:])
+			return err != syscall.EAGAIN
+		})
+		if failed != nil || n <= 0 {
+			return // its end, or the client is too slow: there is nobody left to tell
+		}
+		p.note(n, start)
+	}
+}
+
+// evict ends the connection at once to make room, unless a proper request is under way on it, and says whether it did.
+// What the client has not read yet may be lost.
+func (c *clientConn) evict(idle bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closing && c.proper && (!idle || c.comes()) {
+		return false
+	}
+	c.closing = true
+	c.drop()
+	return true
+}
+
+// markProper notes that a whole proper request has come. It returns false if the connection has ended meanwhile, and
+// the request with it.
+func (c *clientConn) markProper() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.proper = c.proper || !c.closing
+	return !c.closing
+}
+
+// drop closes the system's connection.
+func (c *clientConn) drop() {
+	c.Conn.Close()
+	c.owner.remove(c)
+}
+
+// SetReadDeadline sets how long a read waits, unless the connection has ended.
+func (c *clientConn) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return net.ErrClosed
+	}
+	return c.Conn.SetReadDeadline(at)
+}
--- /dev/null
+++ b/internal/sidecar/conn_test.go
@@ -0,0 +1,304 @@
+package sidecar
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// only returns the sidecar's end of the only connection there is.
+func (w *world) only() *clientConn {
+	w.t.Helper()
+	var found *clientConn
+	w.until("one connection", func() bool {
+		w.server.clients.mu.Lock()
+		defer w.server.clients.mu.Unlock()
+		for conn := range w.server.clients.conns {
+			found = conn
+		}
+		return len(w.server.clients.conns) == 1
+	})
+	return found
+}
+
+// atRest waits until the only connection stands between two requests.
+func (w *world) atRest() *clientConn {
+	w.t.Helper()
+	conn := w.only()
+	w.until("the connection at rest", func() bool { _, _, _, idle := w.server.clients.counts(); return idle == 1 })
+	return conn
+}
+
+// An answer that ends its connection reaches a client that has sent more than was read: the bytes are read and dropped,
+// or the kernel would reset the connection, and the answer be lost with it.
+func TestAnswerReachesAClientThatSentMore(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	head := "POST /pay HTTP/1.1\r\nHost: x\r\nX-Service-Class: pay\r\nX-Time-Left-Ms: 9000\r\nIdempotency-Key: 1\r\n"
+	for name, c := range map[string]struct{ sends, code string }{
+		"readiness":             {"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n", "200"},
+		"a bad request":         {head + "Content-Length: 0\r\n\r\n", "400"},
+		"a malformed head":      {"GET\r\n\r\n", "400"},
+		"an unknown coding":     {head + "Transfer-Encoding: x\r\n\r\n", "501"},
+		"a head too large":      {"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 2*headMost) + "\r\n\r\n", "431"},
+		"chunks, which end it":  {head + "X-Correlation-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "200"},
+		"a refusal amid a body": {head + "X-Correlation-Id: 1\r\nContent-Length: 99999999\r\n\r\n", "413"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := start(t, nil, ready("s-1", e.address))
+			w.until("no connection", func() bool { return w.server.clients.open() == 0 })
+			k := w.keep()
+			io.WriteString(k.conn, c.sends+strings.Repeat("z", 64<<10))
+			w.only()
+			w.until("the connection's end", func() bool { return w.server.clients.open() == 0 })
+			got, err := io.ReadAll(k.in)
+			if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 "+c.code) {
+				t.Errorf("read %.40q, %v; want an answer %s and a clean end", got, err, c.code)
+			}
+		})
+	}
+}
+
+// A request that arrives between the look at a resting connection and its shutdown is never read: its client is told
+// by the end, and sends it again elsewhere.
+func TestRequestThatCrossesTheSweep(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	w.until("no connection", func() bool { return w.server.clients.open() == 0 })
+	k := w.keep()
+	k.ask()
+	conn := w.atRest()
+	conn.closeIf(func() bool {
+		if conn.comes() || !quiet(conn.Conn) {
+			t.Error("the connection is not at rest")
+		}
+		w.request("read", "", time.Minute).Write(k.conn)
+		w.until("the request in the kernel's hands", func() bool { return !quiet(conn.Conn) })
+		return true
+	})
+	if got, err := io.ReadAll(k.in); err != nil || len(got) > 0 {
+		t.Errorf("the client read %q, %v; want the end", got, err)
+	}
+	w.request("read", "", time.Minute).Write(k.conn)
+	if n, err := conn.Read(make([]byte, 1)); n > 0 || err != io.EOF {
+		t.Errorf("after the shutdown %d bytes are read (%v)", n, err)
+	}
+	k.conn.Close()
+	w.until("the connection's end", func() bool { return w.server.clients.open() == 0 })
+	w.do(func() {
+		if w.loop.lastID != 1 {
+			t.Errorf("%d requests were taken, want 1", w.loop.lastID)
+		}
+	})
+	if n, _ := e.seen(); n != 1 {
+		t.Errorf("%d requests reached the endpoint, want 1", n)
+	}
+}
+
+// The other way round: bytes that were read before the sweep's look keep the connection open, however few.
+func TestSweepLeavesARequestThatHasBegun(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	w.until("no connection", func() bool { return w.server.clients.open() == 0 })
+	k := w.keep()
+	for n := range 4 {
+		k.ask()
+		conn := w.atRest()
+		var head bytes.Buffer
+		w.request("read", "", time.Minute).Write(&head)
+		first := head.Next(n + 1)
+		k.conn.Write(first)
+		conn.closeIdle() // whether they were read by now or not
+		w.until("the first bytes to be read", conn.coming)
+		conn.closeIdle()
+		k.conn.Write(head.Bytes())
+		if got, err := http.ReadResponse(k.in, nil); err != nil || got.StatusCode != 200 {
+			t.Fatalf("a request of which %d bytes had come: %v, %v", n+1, got, err)
+		} else {
+			io.Copy(io.Discard, got.Body)
+		}
+	}
+}
+
+// What comes after the shutdown of a connection is read by nobody, be it at the end of the process or before.
+func TestNothingIsTakenAfterTheShutdown(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	w.until("no connection", func() bool { return w.server.clients.open() == 0 })
+	w.server.acceptFor = 0
+	k := w.keep()
+	k.ask()
+	w.atRest()
+	w.stop()
+	if got, err := io.ReadAll(k.in); err != nil || len(got) > 0 {
+		t.Fatalf("the client read %q, %v; want the end", got, err)
+	}
+	for range 3 { // a client that goes on sending
+		w.request("read", "", time.Minute).Write(k.conn)
+	}
+	k.conn.Close()
+	w.endedWell()
+	if n, _ := e.seen(); n != 1 {
+		t.Errorf("%d requests reached the endpoint, want 1", n)
+	}
+}
+
+// A connection that had to make room takes its first request with it; one whose request was taken stays.
+func TestEvictionAgainstAFirstRequest(t *testing.T) {
+	for _, taken := range []bool{false, true} {
+		near, far := socketPair(t)
+		clients := newClients(1)
+		conn, err := newClientConn(far, clients)
+		if err != nil {
+			t.Fatal(err)
+		}
+		clients.note(conn, http.StateNew)
+		io.WriteString(near, "GET /a HTTP/1.1\r\n\r\n")
+		if _, err := conn.Read(make([]byte, 64)); err != nil {
+			t.Fatal(err)
+		}
+		clients.note(conn, http.StateActive)
+		if taken && !clients.markProper(conn) {
+			t.Fatal("a request of an open connection was not taken")
+		}
+		clients.evict()
+		if stays := clients.open() == 1; stays != taken {
+			t.Errorf("taken %v: the connection stays: %v", taken, stays)
+		}
+		if !taken && clients.markProper(conn) {
+			t.Error("the request of an evicted connection was taken")
+		}
+	}
+}
+
+// Connections whose answers are out make room first, and at once.
+func TestLingeringConnectionsMakeRoomFirst(t *testing.T) {
+	clients := newClients(3)
+	var conns []*clientConn
+	for i := range 3 {
+		_, far := socketPair(t)
+		conn, err := newClientConn(far, clients)
+		if err != nil {
+			t.Fatal(err)
+		}
+		clients.note(conn, http.StateNew)
+		if i > 0 { // the last one ends, and its client does not close its side
+			clients.markProper(conn)
+			clients.note(conn, http.StateActive)
+		}
+		conns = append(conns, conn)
+	}
+	conns[2].Close()
+	clients.note(conns[2], http.StateClosed)
+	if n := clients.open(); n != 3 {
+		t.Fatalf("%d connections count, want the one that lingers as well", n)
+	}
+	clients.evict()
+	clients.mu.Lock()
+	defer clients.mu.Unlock()
+	if clients.conns[conns[2]] != nil || len(clients.conns) != 2 {
+		t.Error("the connection that lingers was not the one to make room")
+	}
+}
+
+// Bad clients are owed an end in 3 s: those that send without end, and those that send two bytes of a request and stop.
+// The rest are served meanwhile.
+func TestBadClientsAreEnded(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	var ended [3]chan error
+	for i, sends := range []string{"no request\r\n\r\n", "POST /pay HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n", ""} {
+		k, done := w.keep(), make(chan error, 1)
+		ended[i] = done
+		if sends == "" {
+			k.ask()
+			io.WriteString(k.conn, "GE")
+			go func() {
+				_, err := io.ReadAll(k.in)
+				done <- err
+			}()
+			continue
+		}
+		io.WriteString(k.conn, sends)
+		go func() {
+			junk, sent := bytes.Repeat([]byte("z"), 64<<10), 0
+			for {
+				n, err := k.conn.Write(junk)
+				if sent += n; err != nil {
+					done <- nil // the sidecar ended it
+					return
+				}
+				// What is dropped in lingerMost, and twice as much for the system's buffers.
+				if most := int(lingerMost/discardPause) * bufferBytes; sent > 3*most {
+					done <- fmt.Errorf("%d bytes were taken of it", sent)
+					return
+				}
+			}
+		}()
+	}
+	for i, done := range ended {
+		for over := false; !over; {
+			select {
+			case err := <-done:
+				if over = true; err != nil {
+					t.Errorf("bad client %d: %v", i, err)
+				}
+			case <-time.After(patience):
+				t.Fatalf("bad client %d is not ended", i)
+			default:
+				if got := w.send(w.request("read", "", 3*time.Second)); got.code != http.StatusOK {
+					t.Fatalf("a proper client meanwhile: %+v", got)
+				}
+			}
+		}
+	}
+	w.until("their connections to be gone", func() bool { return w.server.clients.open() == 0 })
+}
+
+// With few descriptors, a flood of connections of every bad kind leaves room for proper clients.
+func TestFloodLeavesRoom(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	stop := make(chan struct{})
+	defer close(stop)
+	for i := range 8 {
+		go func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+				if err != nil {
+					continue
+				}
+				fmt.Fprint(conn, [...]string{"", "GET / HTTP/1.1\r\n", "z\r\n\r\n" + strings.Repeat("z", 9000), "GET / HTTP/1.1\r\nHost: x\r\n\r\n"}[(n+i)%4])
+				if n%2 == 0 {
+					conn.(*net.TCPConn).SetLinger(0)
+				} else {
+					defer conn.Close() // stays until the end
+				}
+				if n%2 == 0 {
+					conn.Close()
+				}
+				if n > 60 {
+					return
+				}
+			}
+		}()
+	}
+	for range 50 {
+		if got := w.send(w.request("read", "", 3*time.Second)); got.code != http.StatusOK {
+			t.Fatalf("a proper client: %+v", got)
+		}
+		if n := w.server.clients.open(); n > w.server.clients.most {
+			t.Fatalf("%d connections are held, %d at most", n, w.server.clients.most)
+		}
+	}
+}
--- a/internal/sidecar/framing_test.go
+++ b/internal/sidecar/framing_test.go
@@ -47,9 +47,12 @@
 
 // A client may begin its next request as soon as it has its answer, before the server counts the connection as at rest.
 func TestRequestBegunBeforeTheLastIsDone(t *testing.T) {
-	near, far := net.Pipe()
-	defer near.Close()
-	conn := &clientConn{Conn: far, framing: newFraming()}
+	near, far := socketPair(t)
+	clients := newClients(1)
+	conn, err := newClientConn(far, clients)
+	if err != nil {
+		t.Fatal(err)
+	}
 	read := func(text string) {
 		t.Helper()
 		go io.WriteString(near, text)
@@ -66,11 +69,29 @@
 		t.Error("a request that was taken counts as on its way")
 	}
 	read("GET /b")
-	clients := newClients(1)
 	clients.note(conn, http.StateNew)
 	clients.note(conn, http.StateIdle) // only now
 	clients.closeIdle(0)
-	if clients.open() != 1 {
+	if clients.open() != 1 || conn.closing {
 		t.Error("the connection was closed under half a head")
 	}
 }
+
+// socketPair returns both ends of a connection over loopback.
+func socketPair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	if near, err = net.Dial("tcp", listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close() })
+	if far, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { far.Close() })
+	return near, far
+}
--- a/internal/sidecar/ops.go
+++ b/internal/sidecar/ops.go
@@ -61,7 +61,7 @@
 			return
 		}
 		in.Body = io.NopCloser(bytes.NewReader(body))
-		o.callers.proper(in.Context()) // only a whole call keeps its connection when room is short
+		o.callers.markProper(connOf(in)) // only a whole call keeps its connection when room is short
 		mux.ServeHTTP(w, in)
 	}
 	o.http = http.Server{Handler: http.HandlerFunc(handler), ReadTimeout: opsTimeout, WriteTimeout: opsTimeout,
@@ -75,7 +75,7 @@
 func (o *operators) serve(ctx context.Context, listener net.Listener) {
 	stop := context.AfterFunc(ctx, func() { o.http.Close() })
 	defer stop()
-	if err := o.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := o.http.Serve(clientListener{listener, o.callers}); !errors.Is(err, http.ErrServerClosed) {
 		o.log.Error("operators' address", "error", err)
 	}
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -282,8 +282,9 @@
 
 func (s *server) serve(ctx context.Context, listener net.Listener) error {
 	go s.report(ctx)
+	go s.clients.sweep(ctx)
 	served := make(chan error, 1)
-	go func() { served <- s.http.Serve(clientListener{listener}) }()
+	go func() { served <- s.http.Serve(clientListener{listener, s.clients}) }()
 	s.up.Store(true)
 	select {
 	case err := <-served:
@@ -325,7 +326,7 @@
 	}
 	// Not a ServeMux: it would redirect paths that endpoints are to see as they are.
 	handler := func(w http.ResponseWriter, in *http.Request) {
-		if conn, ok := in.Context().Value(clientKey{}).(*clientConn); ok && conn.take() {
+		if connOf(in).take() {
 			s.improper(w, in, bad("both a length and a transfer coding are given"))
 			return
 		}
@@ -335,7 +336,7 @@
 			s.request(w, in)
 		}
 	}
-	s.http = http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: paceSlack, IdleTimeout: idleTimeout,
+	s.http = http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: paceSlack, // no IdleTimeout: see clients.sweep
 		WriteTimeout: timeLeftMost + writeTimeout, MaxHeaderBytes: headMost, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn),
 		ConnState: s.clients.note, ConnContext: s.clients.name}
 	return s
@@ -443,7 +444,9 @@
 		s.improper(w, in, err)
 		return
 	}
-	s.clients.proper(in.Context())
+	if !s.clients.markProper(connOf(in)) {
+		panic(http.ErrAbortHandler) // it had to make room, and its client was told
+	}
 	if m.rest != nil {
 		// An answer that comes before the body's end is owed at once: else the server would read on first.
 		if err := control.EnableFullDuplex(); err != nil {
@@ -476,7 +479,7 @@
 	s.ended(in, arrived, http.StatusServiceUnavailable)
 	writeAnswer(w, answer{code: http.StatusServiceUnavailable, retryAfter: retry.Microseconds()})
 	if in.ContentLength != 0 {
-		s.linger(in, control)
+		s.finish(in, control)
 	}
 }
 
@@ -503,15 +506,15 @@
 	control.SetWriteDeadline(time.Now().Add(writeTimeout)) // the write tells of a connection that is gone
 	writeAnswer(w, a)
 	if m.rest != nil && m.rest.unread() {
-		s.linger(in, control)
+		s.finish(in, control)
 	}
 }
 
-// linger sends an answer off and waits for the client to read it, where the request's body was not read.
-func (s *server) linger(in *http.Request, control *http.ResponseController) {
-	conn, ok := in.Context().Value(clientKey{}).(net.Conn)
-	if ok && control.Flush() == nil {
-		linger(conn)
+// finish sends an answer off and ends its connection, where the request's body was not read: net/http would read on
+// first.
+func (s *server) finish(in *http.Request, control *http.ResponseController) {
+	if control.Flush() == nil {
+		connOf(in).Close()
 	}
 }
 
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -225,27 +224,6 @@
 	return append(kept, more[:n]...), false, err
 }
 
-// linger reads what still comes after an answer that is the last on its connection. A client may write its whole body
-// before it reads: closed with a part of that unread, its connection would be reset, and the answer lost with it.
-// What comes is no longer read as a body, whose reader may have failed.
-func linger(conn net.Conn) {
-	buffer := buffers.Get().(*[bufferBytes]byte)
-	defer buffers.Put(buffer)
-	var p pace
-	for {
-		start := time.Now()
-		if conn.SetReadDeadline(start.Add(min(paceSlack, p.allows()))) != nil {
-			return
-		}
-		n, err := conn.Read(buffer[:])
-		if err != nil {
-			return // its end, or the client is too slow: there is nobody left to tell
-		}
-		p.note(n, start)
-		time.Sleep(discardPause)
-	}
-}
-
 // rest reads what was not kept; from then on the request cannot be sent again.
 type rest struct{ *clientBody }
 
