Notice at once that a client has left, and send nothing on for it

Seen by tests over loopback on the program before (20 clients a case, 40 cases, close and reset): with a request or a flood pipelined behind, or amid a body, none of 600 departures was ever noticed, because net/http's background read stops at the first extra byte and does not begin before a body's end; where the settings forbid cancelling, all whose dial came up later were sent on though noticed (Limits.Cancel); with the loop's queue full some were (2 of 20). Change: the connection itself says that its client left: by any read, or, where no read would tell, by a poll for the peer's end each 20 ms, only while a request waits so. The handler waits for that alone, not for net/http's context, which a slow body ends as well. An attempt not yet begun to be written is taken back, whatever the settings say of cancelling; after that they decide, but for a streamed answer. Ruled out: a body that fills the buffers hides the end behind it; such a request never comes whole to a server.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -25,6 +25,10 @@
 	rest     time.Duration // restLeast, but for tests
 	conns    map[*clientConn]*client
 	accepted int // since the start
+
+	watching sync.Mutex
+	watched  map[*clientConn]bool // whose clients' leaving no read would tell
+	looking  bool                 // a look at them is due
 }
 
 // client is one connection from a client.
@@ -37,7 +41,7 @@
 type clientKey struct{}
 
 func newClients(most int) *clients {
-	return &clients{most: most, rest: restLeast, conns: map[*clientConn]*client{}}
+	return &clients{most: most, rest: restLeast, conns: map[*clientConn]*client{}, watched: map[*clientConn]bool{}}
 }
 
 // connOf returns the connection that a request came on.
@@ -186,6 +190,35 @@
 	delete(c.conns, conn)
 }
 
+// watch has the system asked again and again whether a connection's client has left, until unwatch.
+func (c *clients) watch(conn *clientConn) {
+	c.watching.Lock()
+	defer c.watching.Unlock()
+	c.watched[conn] = true
+	if !c.looking {
+		c.looking = true
+		time.AfterFunc(departureGap, c.look)
+	}
+}
+
+func (c *clients) unwatch(conn *clientConn) {
+	c.watching.Lock()
+	defer c.watching.Unlock()
+	delete(c.watched, conn)
+}
+
+// look asks for all that are watched.
+func (c *clients) look() {
+	c.watching.Lock()
+	defer c.watching.Unlock()
+	for conn := range c.watched {
+		conn.look() // which takes no lock
+	}
+	if c.looking = len(c.watched) > 0; c.looking {
+		time.AfterFunc(departureGap, c.look)
+	}
+}
+
 // open counts the connections.
 func (c *clients) open() int {
 	c.mu.Lock()
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -8,13 +9,16 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
 	// lingerMost is how long a connection that has ended may go on sending before it is reset. A bad client is owed
 	// an end within 3 s of connecting; one that sent a proper request may first have to write a long body, and gets
 	// the time that its pace earns.
-	lingerMost = 2 * time.Second
+	lingerMost   = 2 * time.Second
+	departureGap = 20 * time.Millisecond // between looks for clients that left where no read would tell
 )
 
 // clientListener wraps what it accepts, so that a connection tells more of what was read from it.
@@ -38,16 +42,19 @@
 
 // clientConn is a connection from a client. Whoever ends it, a handler, a sweep, a time-out or net/http itself, does so
 // by Close: what was written is sent off, nothing that comes after that is read as a request, and the connection is
-// closed once the client has closed its side, or after a while.
+// closed once the client has closed its side, or after a while. It also tells when the client has left.
 type clientConn struct {
 	net.Conn                 // the system's; its own Read and Close pass by all that is said above
 	raw      syscall.RawConn // the same
 	owner    *clients
+	left     context.Context // ends when the client has left, or the connection has ended
+	leave    context.CancelFunc
 
 	mu      sync.Mutex // held over a read from the system and what it means
 	framing framing
 	taken   int       // requests
 	begun   time.Time // when the first byte came of a head that is not whole yet
+	waiting bool      // a request that is read to its end waits for its answer
 	closing bool      // nothing that comes is read as a request any more
 	ended   bool      // all that the client sent was read, to its end or its reset
 	proper  bool      // a whole proper request has come on it
@@ -63,6 +70,7 @@
 		return nil, errors.Join(err, conn.Close())
 	}
 	c := &clientConn{Conn: conn, raw: raw, owner: owner, framing: newFraming()}
+	c.left, c.leave = context.WithCancel(context.Background())
 	return c, nil
 }
 
@@ -93,6 +101,7 @@
 			return true
 		}
 		c.ended = true
+		c.leave()
 		return true
 	})
 	if failed != nil && err == nil {
@@ -122,6 +131,10 @@
 	} else if c.begun.IsZero() {
 		c.begun = time.Now()
 	}
+	if c.waiting { // net/http reads one byte past a request, and then no longer sees the client leave
+		c.waiting = false
+		c.owner.watch(c)
+	}
 }
 
 // coming says whether something of a request has come that was not taken yet. When it came does not tell: a client
@@ -142,6 +155,34 @@
 	return c.taken == c.framing.conflict
 }
 
+// await has the client's leaving told while a request waits for its answer, until done is called. Unread says that
+// some of the request's body was not read.
+func (c *clientConn) await(unread bool) (done func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if unread || c.comes() || c.framing.ended { // nobody reads on, or not far enough
+		c.owner.watch(c)
+	} else {
+		c.waiting = true
+	}
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.waiting = false
+		c.owner.unwatch(c)
+	}
+}
+
+// look asks the system whether the client has left, whatever it sent before that was not read.
+func (c *clientConn) look() {
+	c.raw.Control(func(fd uintptr) {
+		at := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		if n, err := unix.Poll(at, 0); err == nil && n > 0 { // an error or a hang-up is told unasked
+			c.leave()
+		}
+	})
+}
+
 // Close ends the connection: see clientConn. It does not wait, and may come any number of times.
 func (c *clientConn) Close() error {
 	c.closeIf(func() bool { return true })
@@ -161,6 +202,7 @@
 		return
 	}
 	c.closing = true
+	c.leave()
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if c.ended || !ok || half.CloseWrite() != nil {
 		c.drop()
@@ -208,6 +250,7 @@
 		return false
 	}
 	c.closing = true
+	c.leave()
 	c.drop()
 	return true
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -104,6 +104,7 @@
 	deadline balancer.Micros
 	left     balancer.Micros // from the last byte of a body that still comes to the deadline
 	answer   chan answer     // takes the one final answer
+	client   context.Context // ends when the client leaves, which the loop may be told late
 	over     bool            // the final answer is out, or the client is gone
 	attempts []context.CancelFunc
 	out      int // attempts without outcome
@@ -214,6 +215,9 @@
 	l.forget(r)
 }
 
+// departed says whether the request's client has left.
+func (r *request) departed() bool { return r.client != nil && r.client.Err() != nil }
+
 // gone tells that the client went away.
 func (l *loop) gone(now balancer.Micros, r *request) {
 	if !r.over {
@@ -255,6 +259,9 @@
 // request's end, when the balancer still learns from it.
 func (l *loop) outcome(now balancer.Micros, r *request, o balancer.Outcome, res result) {
 	r.out--
+	if r.departed() {
+		l.gone(now, r) // before the balancer would try again for it
+	}
 	if res.status != balancer.OK {
 		l.log.Info("attempt not served", "id", r.message.header.Get("X-Correlation-Id"), "attempt", o.Attempt,
 			"endpoint", o.Endpoint, "status", res.status, "ms", o.Latency/1000, "error", res.err)
@@ -400,7 +407,16 @@
 	r.attempts = append(r.attempts, cancel)
 	r.out++
 	began, ended := now, balancer.Micros(0) // what counts as the attempt's time
+	// A client that leaves takes back what was not begun to be sent, whatever may be cancelled beyond that.
+	unguard := func() bool { return true }
+	guard := func() {
+		if r.client != nil {
+			unguard = context.AfterFunc(r.client, cancel)
+		}
+	}
+	guard()
 	p := &passage{life: life,
+		begin: func() bool { return unguard() },
 		uploaded: func() time.Time {
 			began = l.clock.now()
 			deadline := began + r.left
@@ -413,12 +429,15 @@
 		answer: func(h *http.Response, kept []byte, s *stream) {
 			ended = l.clock.now()
 			latency := ended - began
+			guard() // what is passed on as it comes has nobody else to come for
+			s.free = unguard
 			l.post(func(at balancer.Micros) {
 				l.stream(at, r, o.Attempt, latency, answer{code: http.StatusOK, header: h.Header, body: kept, stream: s})
 			})
 		}}
 	go func() {
 		defer cancel()
+		defer func() { unguard() }()
 		res := result{status: balancer.Moot}
 		if t != nil {
 			ctx, stop := life, context.CancelFunc(func() {})
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -444,7 +444,8 @@
 		s.improper(w, in, err)
 		return
 	}
-	if !s.clients.markProper(connOf(in)) {
+	conn := connOf(in)
+	if !s.clients.markProper(conn) {
 		panic(http.ErrAbortHandler) // it had to make room, and its client was told
 	}
 	if m.rest != nil {
@@ -453,17 +454,13 @@
 			panic(http.ErrAbortHandler) // the connection is gone
 		}
 	}
-	r := &request{answer: make(chan answer, 1), message: m, left: req.Deadline - s.loop.clock.now()}
+	r := &request{answer: make(chan answer, 1), message: m, left: req.Deadline - s.loop.clock.now(), client: conn.left}
+	defer conn.await(m.rest != nil)()
 	s.loop.post(func(now balancer.Micros) { s.loop.take(now, r, req) })
 	select {
 	case a := <-r.answer:
 		s.give(w, in, control, m, arrived, a)
-	case <-in.Context().Done():
-		if m.rest != nil && (m.rest.unread() || m.rest.isCut()) {
-			// The body could not be read on. That ends the attempt, and its answer is on its way.
-			s.give(w, in, control, m, arrived, <-r.answer)
-			return
-		}
+	case <-conn.left.Done():
 		s.ended(in, arrived, 0)
 		s.loop.post(func(now balancer.Micros) { s.loop.gone(now, r) })
 		// A client that has only stopped sending must not read a whole answer
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -238,10 +238,12 @@
 	length int64         // -1 where the endpoint did not tell
 	more   io.ReadCloser // beyond what is kept in the answer
 	done   chan error    // has room for the one
+	free   func() bool   // takes back that the client's leaving ends the attempt
 }
 
 // end tells the endpoint's side how the client's side ended.
 func (s *stream) end(err error) {
+	s.free() // what follows ends the connection, which is no client's leaving
 	s.more.Close()
 	s.done <- err
 }
@@ -249,6 +251,7 @@
 // passage is what an attempt needs to pass on more than it can keep.
 type passage struct {
 	life     context.Context  // the attempt's, without a deadline
+	begin    func() bool      // asked before the first byte is written: whether the request is still wanted
 	uploaded func() time.Time // tells that the last byte of a body is written; returns the request's deadline
 	answer   func(h *http.Response, kept []byte, s *stream)
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -112,6 +112,8 @@
 var (
 	errClosed = errors.New("the endpoint is draining or gone")
 	errFull   = errors.New("no connection is left")
+
+	errUnwanted = errors.New("the request is over")
 )
 
 // unsentError says that the last byte of a request was never written.
@@ -183,7 +185,7 @@
 // unsent is the outcome of a request that was not written: the endpoint's
 // fault, unless the sidecar no longer wanted to send it.
 func unsent(ctx context.Context, err error) balancer.Status {
-	if ctx.Err() != nil || errors.Is(err, errClosed) || errors.Is(err, errFull) {
+	if ctx.Err() != nil || errors.Is(err, errClosed) || errors.Is(err, errFull) || errors.Is(err, errUnwanted) {
 		return balancer.Moot
 	}
 	return balancer.ConnectFailed
@@ -392,6 +394,10 @@
 	if closed {
 		return nil, nil, &unsentError{errClosed}
 	}
+	// So may its time have ended, or its client have left: what wakes a write then comes a little later.
+	if p != nil && !p.begin() || ctx.Err() != nil {
+		return nil, nil, &unsentError{errUnwanted}
+	}
 	if m.rest == nil {
 		data, err := m.encode(ctx)
 		if err != nil {
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -273,6 +273,7 @@
 	ops    string             // address, once operate has opened it
 	stop   context.CancelFunc // as SIGTERM does
 	ended  chan error
+	log    slog.Handler // the sidecar's; nil to discard it
 }
 
 // configure returns a configuration that knows the given list.
@@ -325,7 +326,10 @@
 	w.ended = make(chan error, 1)
 	w.url = "http://" + listener.Addr().String()
 	loopCtx, stopLoop := context.WithCancel(context.Background())
-	w.loop, err = newLoop(loopCtx, cfg, slog.New(slog.DiscardHandler))
+	if w.log == nil {
+		w.log = slog.DiscardHandler
+	}
+	w.loop, err = newLoop(loopCtx, cfg, slog.New(w.log))
 	if err != nil {
 		w.t.Fatal(err)
 	}
