Take no answer of discovery for news that lacks a version, or is older than the list held

Seen by review of discovery.go: an answer `{}`, or one of another kind, passed for "version 0, nothing changed", and the watch went on from version 0; changes of a discovery begun anew (a smaller version) were laid on the old list. Ruled out by reading and by tests that were there: a late list of the old address after SIGHUP (the watch's context ends in the loop that tells it), a list cut short, an indented one, a silent first or waiting call (4 s, 1 s past the wait, then anew). Change: seq and whole must be there, and the error names what is missing; changes older than the list have the whole list asked for at once.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -113,15 +114,39 @@
 	if response.StatusCode != http.StatusOK {
 		return list, fmt.Errorf("discovery answered %s", response.Status)
 	}
-	if err := json.Unmarshal(body, &list); err != nil {
+	if list, err = parseRegistry(body); err != nil {
 		return list, fmt.Errorf("discovery's answer: %w", err)
 	}
-	if err := list.validate(); err != nil {
-		return list, fmt.Errorf("discovery's answer: %w", err)
+	if after != nil && !list.Whole && list.Seq < *after {
+		// Discovery has begun anew: changes since an older version say nothing of the list that is held.
+		return list, fmt.Errorf("discovery's answer: seq: %w: %d after %d", errOlder, list.Seq, *after)
 	}
 	return list, nil
 }
 
+// errOlder says that a list of changes is of an earlier version than the list that is held.
+var errOlder = errors.New("changes of an older version")
+
+// parseRegistry reads a list as discovery sends it.
+func parseRegistry(body []byte) (registry, error) {
+	var list registry
+	// Without these an answer cut short, or of something else, would pass for news that there is none.
+	given := struct {
+		Seq   *uint64 `json:"seq"`
+		Whole *bool   `json:"whole"`
+	}{}
+	if err := errors.Join(json.Unmarshal(body, &given), json.Unmarshal(body, &list)); err != nil {
+		return list, err
+	}
+	if given.Seq == nil {
+		return list, errors.New("seq is missing")
+	}
+	if given.Whole == nil {
+		return list, errors.New("whole is missing")
+	}
+	return list, list.validate()
+}
+
 // watch reports what discovery tells until a call fails, which it reports too.
 // The first call does not wait for news: its answer is the balancer's sign that
 // the watch has begun. After is the version to go on from, nil if there was no
@@ -129,6 +154,10 @@
 func (d *discovery) watch(ctx context.Context, after *uint64, tell func(balancer.ListKind, registry)) (*uint64, error) {
 	for wait := time.Duration(0); ; wait = watchWait {
 		list, err := d.list(ctx, after, wait)
+		if errors.Is(err, errOlder) {
+			after = nil // which asks for the whole list
+			continue
+		}
 		if err != nil {
 			tell(balancer.ListFailed, registry{})
 			return after, err
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -1,9 +1,13 @@
 package sidecar
 
 import (
+	"context"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -59,7 +63,8 @@
 func TestDiscoveryDownAndBack(t *testing.T) {
 	for name, broken := range map[string]string{
 		"down": "", "not JSON": "<html>", "wrong type": `{"seq":"x"}`, "unknown state": `{"seq":9,"whole":true,"hosts":[{"host":"s","health":"?"}]}`,
-		"no address": `{"seq":9,"whole":true,"hosts":[{"host":"s","health":"Ready","dial":"x"}]}`,
+		"cut short": `{"seq":9,"whole":true,"hosts":[{"host"`, "blank": " ", "no version": `{"whole":true,"hosts":[]}`,
+		"not said whether whole": `{"seq":9,"hosts":[]}`, "no address": `{"seq":9,"whole":true,"hosts":[{"host":"s","health":"Ready","dial":"x"}]}`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -87,6 +92,52 @@
 	}
 }
 
+// Discovery that is back with a smaller version has begun anew: its changes say nothing of the list that is held, and
+// the whole is asked for at once.
+func TestDiscoveryBegunAnew(t *testing.T) {
+	var mu sync.Mutex
+	var calls []string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		calls = append(calls, r.URL.RawQuery)
+		mu.Unlock()
+		switch r.FormValue("after") {
+		case "":
+			io.WriteString(w, `{"seq":3,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:1","health":"Ready"}]}`)
+		case "3":
+			if r.FormValue("wait_ms") != "0" {
+				<-r.Context().Done()
+			}
+			fallthrough
+		default:
+			io.WriteString(w, "{\n \"seq\": 3,\n \"whole\": false,\n \"hosts\": []\n}\n") // indented, as it may come
+		}
+	}))
+	defer server.CloseClientConnections()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	held, kinds := uint64(41), make(chan balancer.ListKind, 8)
+	go newDiscovery(strings.TrimPrefix(server.URL, "http://")).watch(ctx, &held, func(kind balancer.ListKind, list registry) {
+		if kind == balancer.ListFull && (list.Seq != 3 || len(list.Hosts) != 1) {
+			t.Errorf("the list %+v", list)
+		}
+		kinds <- kind
+	})
+	select {
+	case kind := <-kinds:
+		if kind != balancer.ListFull {
+			t.Errorf("told %v first, want the whole list", kind)
+		}
+	case <-time.After(patience):
+		t.Fatal("no list is told")
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(calls) < 2 || calls[0] != "after=41&wait_ms=0" || calls[1] != "" {
+		t.Errorf("calls %q, want one for the whole list next", calls)
+	}
+}
+
 // Where lists are pushed the balancer never asks: the sidecar watches its agent
 // by itself, and begins again after a failure.
 func TestPushedLists(t *testing.T) {
