Keep no more than a twentieth of a client's time for writing its answer

Need: deadlines of another deployment may be tens of milliseconds. Seen by review (server.go, parse): the fixed margin of 10 ms left nothing of a time of 10 ms, and refused every such request unseen. Change: the margin is 10 ms or a twentieth of the time, whichever is less. Unchanged from 200 ms on.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	answerMargin = 10 * time.Millisecond   // of a client's time, kept for writing the final answer
+	answerMargin = 10 * time.Millisecond   // of a client's time, at most, kept for writing the final answer
+	marginPart   = 20                      // and one part in so many of it: a deadline may be as short as that
 	acceptAfter  = 600 * time.Millisecond  // after SIGTERM or a drain: clients go on connecting for 0.4 s
 	acceptOut    = time.Millisecond        // after SIGTERM, with another process there to take clients
 	listWait     = 1500 * time.Millisecond // a process beside another waits so long for discovery: its yes is owed in 6 s
@@ -610,7 +611,7 @@
 		return req, bad("X-Time-Left-Ms: %q is not a whole number of milliseconds", h.Get("X-Time-Left-Ms"))
 	}
 	left = min(left, timeLeftMost.Milliseconds())
-	req.Deadline = left*1000 - answerMargin.Microseconds()
+	req.Deadline = left*1000 - min(answerMargin.Microseconds(), left*1000/marginPart)
 	if len(s.tenants) > 0 {
 		if req.Tenant, ok = s.tenants[h.Get("X-Account")]; !ok {
 			return req, bad("X-Account: %q is not a known tenant", h.Get("X-Account"))
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -168,6 +168,20 @@
 	}
 }
 
+// However short a client's time is, most of it is for the request: a fixed margin would leave nothing of 10 ms.
+func TestShortDeadlinesLeaveTime(t *testing.T) {
+	w := start(t, nil, ready("s-1", "127.0.0.1:1"))
+	for left, want := range map[time.Duration]time.Duration{
+		10 * time.Millisecond: 9500 * time.Microsecond, 100 * time.Millisecond: 95 * time.Millisecond,
+		2 * time.Second: 1990 * time.Millisecond, 0: 0,
+	} {
+		req, err := w.server.parse(w.request("pay", "x", left))
+		if err != nil || req.Deadline != want.Microseconds() {
+			t.Errorf("of %v the request gets %d us (%v), want %v", left, req.Deadline, err, want)
+		}
+	}
+}
+
 // What the balancer gives up is answered at once, and the client is told when to
 // come back.
 func TestRefusedAtOnceWithRetryAfter(t *testing.T) {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -466,7 +466,8 @@
 		}
 		c.until(ctx, time.Time{})
 	}
-	keep = !response.Close && c.reader.Buffered() == 0
+	// After a change of protocols the connection speaks no HTTP any more.
+	keep = !response.Close && c.reader.Buffered() == 0 && response.StatusCode != http.StatusSwitchingProtocols
 	return response, body, nil
 }
 
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -99,6 +99,89 @@
 	}
 }
 
+// What an endpoint sends that leaves its connection's state in doubt ends the connection; the next request opens another.
+func TestConnectionsOfNoMoreUse(t *testing.T) {
+	for name, answer := range map[string]string{
+		"a second answer with the first": served + served,
+		"half a line behind the answer":  served + "HTTP/1.1 2",
+		"a change of protocols":          "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
+	} {
+		e := newEndpoint(t, always(answer))
+		u := newTestUpstream(t, 4)
+		for range 2 {
+			u.attempt(context.Background(), &target{address: e.address}, get("/"), nil)
+		}
+		if n, conns := e.seen(); n != 2 || conns != 2 {
+			t.Errorf("%s: %d requests on %d connections, want 2 on 2", name, n, conns)
+		}
+		if open, idle := u.connections(); open != 0 || idle != 0 {
+			t.Errorf("%s: %d connections are open, %d of them idle", name, open, idle)
+		}
+	}
+}
+
+// A second answer that comes once the connection rests is no answer to the next request.
+func TestSecondAnswerSomeTimeLater(t *testing.T) {
+	again := make(chan struct{})
+	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.next(in) != nil {
+			if n, _ := e.seen(); n == 1 {
+				io.WriteString(conn, served)
+				<-again
+				io.WriteString(conn, strings.Replace(served, "done", "late", 1))
+			} else {
+				io.WriteString(conn, served)
+			}
+		}
+	})
+	u, at := newTestUpstream(t, 4), &target{address: e.address}
+	u.attempt(context.Background(), at, get("/"), nil)
+	close(again)
+	await(t, "the second answer", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return !quiet(u.idle[at][0].Conn)
+	})
+	if r := u.attempt(context.Background(), at, get("/"), nil); string(r.body) != "done" {
+		t.Errorf("the second request got %q, %v", r.body, r.status)
+	}
+}
+
+// An answer without a length ends where the endpoint closes in order. A reset is no end.
+func TestResetIsNoEnd(t *testing.T) {
+	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		e.next(in)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\ndone")
+		conn.(*net.TCPConn).SetLinger(0)
+	})
+	u := newTestUpstream(t, 4)
+	if r := u.attempt(context.Background(), &target{address: e.address}, get("/"), nil); r.status != balancer.Reset {
+		t.Errorf("status %v, want Reset", r.status)
+	}
+}
+
+// An attempt whose time ends, or whose client leaves, in the instant before its first byte is written, writes none:
+// whatever wakes a write may come after it.
+func TestNothingIsWrittenForWhatIsOver(t *testing.T) {
+	for name, begin := range map[string]func(cancel func()) bool{
+		"given up":        func(cancel func()) bool { cancel(); return true },
+		"the client left": func(func()) bool { return false },
+	} {
+		got := make(chan int64, 1)
+		e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+			n, _ := io.Copy(io.Discard, in)
+			got <- n
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		u := newTestUpstream(t, 4)
+		r := u.attempt(ctx, &target{address: e.address}, get("/"), &passage{life: ctx, begin: func() bool { return begin(cancel) }})
+		if n := <-got; n != 0 || r.status != balancer.Moot {
+			t.Errorf("%s: %d bytes were written, status %v; want none, and moot", name, n, r.status)
+		}
+		cancel()
+	}
+}
+
 func TestConnectionRefusedNeverRan(t *testing.T) {
 	u := newTestUpstream(t, 1)
 	for range 2 { // a failed connection gives its place back
