Close no client's connection under the lock that its reader takes

Seen repeating the new tests three side by side with -race: two of three processes stood still. Change: what ends is decided under the lock, and closed after it. TestCloseAgainstARead forces the meeting 300 times, and stands still without the mend within one run.

--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -50,7 +50,7 @@
 	left     context.Context // ends when the client has left, or the connection has ended
 	leave    context.CancelFunc
 
-	mu      sync.Mutex // held over a read from the system and what it means
+	mu      sync.Mutex // held over a read from the system and what it means, and over no close
 	framing framing
 	taken   int       // requests
 	begun   time.Time // when the first byte came of a head that is not whole yet
@@ -196,20 +196,30 @@
 
 // closeIf ends the connection where this may be. What is asked of it holds until nothing is read any more.
 func (c *clientConn) closeIf(may func() bool) {
+	begun, gone, proper := c.shut(may)
+	switch {
+	case gone:
+		c.drop()
+	case begun:
+		go c.linger(proper)
+	}
+}
+
+// shut begins the end, and says whether it did, and whether the client has nothing more to be told.
+func (c *clientConn) shut(may func() bool) (begun, gone, proper bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing || !may() {
-		return
+		return false, false, false
 	}
 	c.closing = true
 	c.leave()
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if c.ended || !ok || half.CloseWrite() != nil {
-		c.drop()
-		return
+		return true, true, c.proper
 	}
 	c.Conn.SetReadDeadline(longAgo) // whoever reads is to return
-	go c.linger(c.proper)
+	return true, false, c.proper
 }
 
 // linger reads and drops what still comes, until the client closes its side: closed over bytes that were not read, the
@@ -245,14 +255,16 @@
 // What the client has not read yet may be lost.
 func (c *clientConn) evict(idle bool) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.closing && c.proper && (!idle || c.comes()) {
-		return false
+	busy := !c.closing && c.proper && (!idle || c.comes())
+	if !busy {
+		c.closing = true
+		c.leave()
 	}
-	c.closing = true
-	c.leave()
-	c.drop()
-	return true
+	c.mu.Unlock()
+	if !busy {
+		c.drop()
+	}
+	return !busy
 }
 
 // markProper notes that a whole proper request has come. It returns false if the connection has ended meanwhile, and
@@ -264,7 +276,8 @@
 	return !c.closing
 }
 
-// drop closes the system's connection.
+// drop closes the system's connection. That waits for who reads, and who reads may wait for c.mu: nobody who holds it
+// may call this.
 func (c *clientConn) drop() {
 	c.Conn.Close()
 	c.owner.remove(c)
--- a/internal/sidecar/conn_test.go
+++ b/internal/sidecar/conn_test.go
@@ -176,6 +176,48 @@
 	}
 }
 
+// A connection ends however its end falls together with what comes: the system's close waits for who reads, and that
+// one must not wait for who closes.
+func TestCloseAgainstARead(t *testing.T) {
+	clients := newClients(1)
+	for i := range 300 {
+		near, far := socketPair(t)
+		conn, err := newClientConn(far, clients)
+		if err != nil {
+			t.Fatal(err)
+		}
+		clients.note(conn, http.StateNew)
+		read, closed := make(chan struct{}), make(chan struct{})
+		go func() {
+			for {
+				if _, err := conn.Read(make([]byte, 1)); err != nil {
+					close(read)
+					return
+				}
+			}
+		}()
+		go func() {
+			if i%2 == 0 {
+				conn.Close()
+			} else {
+				conn.evict(false)
+			}
+			close(closed)
+		}()
+		near.Write([]byte("zz"))
+		near.(*net.TCPConn).SetLinger(i % 3 * -1) // some reset
+		near.Close()
+		for what, done := range map[string]chan struct{}{"read": read, "close": closed} {
+			select {
+			case <-done:
+			case <-time.After(patience):
+				t.Fatalf("%d: the %s does not return", i, what)
+			}
+		}
+		await(t, "the connection's end", func() bool { return clients.open() == 0 })
+	}
+}
+
 // Connections whose answers are out make room first, and at once.
 func TestLingeringConnectionsMakeRoomFirst(t *testing.T) {
 	clients := newClients(3)
