Notice a client that leaves while its request waits to be handed to the loop

Seen repeating the departure test: with the loop's queue full, 2 of 20 departures were not noticed before the loop went on: their handlers waited in post (server.go, request) and looked at nothing else. Change: what waits to be handed over gives up when the client leaves. A read that the end of its connection wakes says end of stream, as all later ones do, and not a time-out.

--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -104,7 +104,9 @@
 		c.leave()
 		return true
 	})
-	if failed != nil && err == nil {
+	if failed != nil && err == nil && c.shutting() {
+		n, err = 0, io.EOF // the end woke it
+	} else if failed != nil && err == nil {
 		n, err = 0, failed
 		var op *net.OpError
 		if errors.As(failed, &op) {
@@ -114,6 +116,12 @@
 	return n, err
 }
 
+func (c *clientConn) shutting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
 // receive reads from a socket without waiting.
 func receive(fd uintptr, p []byte) (n int, err error) {
 	for {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -183,6 +183,16 @@
 	}
 }
 
+// postFor hands an event to the loop for a client, unless the client leaves first: then it returns false.
+func (l *loop) postFor(client context.Context, event func(now balancer.Micros)) bool {
+	select {
+	case l.events <- event:
+		return true
+	case <-client.Done():
+		return false
+	}
+}
+
 // errBusy says that the loop took no notice of a call in time.
 var errBusy = errors.New("the call could not be carried out in time")
 
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -457,7 +457,10 @@
 	}
 	r := &request{answer: make(chan answer, 1), message: m, left: req.Deadline - s.loop.clock.now(), client: conn.left}
 	defer conn.await(m.rest != nil)()
-	s.loop.post(func(now balancer.Micros) { s.loop.take(now, r, req) })
+	if !s.loop.postFor(conn.left, func(now balancer.Micros) { s.loop.take(now, r, req) }) {
+		s.ended(in, arrived, 0)
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case a := <-r.answer:
 		s.give(w, in, control, m, arrived, a)
