--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -183,10 +183,7 @@
 func newSubnet() subnet { return subnet(16 + (os.Getpid()*7+int(subnets.Add(1)))%200) }
 
 func host(s *PinServer, health string) Host {
-	s.mu.Lock()
-	born := s.born.UnixMilli()
-	s.mu.Unlock()
-	return Host{Host: s.Name, Dial: s.Address(), Site: s.Zone, Class: "m", Health: health, Share: 1, BornMs: born}
+	return Host{Host: s.Name, Dial: s.Address(), Site: s.Zone, Class: "m", Health: health, Share: 1, BornMs: s.Born().UnixMilli()}
 }
 
 // world is what the schedule acts on.
--- a/internal/lab/standin.go
+++ b/internal/lab/standin.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -24,25 +23,19 @@
 	Name string
 	Zone string
 
-	spec     Server
-	Faults   *Faults // of the network between sidecars and this server
-	http     *http.Server
-	slots    chan struct{} // capacity
-	waiting  chan struct{} // capacity + queue
-	ledger   *Ledger
-	random   *rand.Rand
-	mu       sync.Mutex
-	born     time.Time
-	drained  time.Time // when discovery first told Terminating; zero while not
-	drains   int       // faults that drain it
-	inflight int
+	*Serving
+	Faults  *Faults // of the network between sidecars and this server
+	http    *http.Server
+	ledger  *Ledger
+	mu      sync.Mutex
+	drained time.Time // when discovery first told Terminating; zero while not
+	drains  int       // faults that drain it
+	borne   borne
 }
 
 // NewPinServer serves on a listener of the network's.
 func NewPinServer(name, zone string, spec Server, ledger *Ledger, seed uint64, listener *Faults) *PinServer {
-	s := &PinServer{Name: name, Zone: zone, spec: spec, Faults: listener, ledger: ledger,
-		slots: make(chan struct{}, spec.Capacity), waiting: make(chan struct{}, spec.Capacity+spec.Queue),
-		random: rand.New(rand.NewPCG(seed, 0x5e)), born: time.Now()}
+	s := &PinServer{Name: name, Zone: zone, Serving: NewServing(spec, seed), Faults: listener, ledger: ledger}
 	s.http = &http.Server{Handler: s, IdleTimeout: 5 * time.Second, ReadHeaderTimeout: 5 * time.Second, ConnContext: nameConn}
 	go s.http.Serve(listener)
 	return s
@@ -83,17 +76,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if at.IsZero() {
-		s.born = time.Now()
+		s.Restart()
 	}
 	s.drained = at
 }
 
-func (s *PinServer) report() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return fmt.Sprintf("failed_ps=0,pending=%d", s.inflight)
-}
-
 // ServeHTTP answers one request.
 func (s *PinServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
@@ -101,9 +88,11 @@
 		w.WriteHeader(http.StatusOK)
 		return
 	case "/stats":
-		io.WriteString(w, s.report())
+		s.borne.probes.Add(1)
+		io.WriteString(w, s.Report())
 		return
 	}
+	s.borne.calls.Add(1)
 	id := r.Header.Get("X-Correlation-Id")
 	if id == "" {
 		http.NotFound(w, r)
@@ -123,41 +112,16 @@
 		s.ledger.AfterDrain(s.Name, id, drained, at)
 	}
 	s.ledger.Came(s.Name, id, at)
-	select {
-	case s.waiting <- struct{}{}:
-	default:
+	verdict, report := s.Run(r.Context(), func() { s.ledger.Ran(id, s.Name) })
+	switch verdict {
+	case TurnedAway:
 		turnAway(w)
 		return
-	}
-	defer func() { <-s.waiting }()
-	select {
-	case s.slots <- struct{}{}:
-	case <-r.Context().Done():
+	case Left:
 		return
 	}
-	defer func() { <-s.slots }()
-	s.ledger.Ran(id, s.Name)
-	s.mu.Lock()
-	s.inflight++
-	warmth := 1.0
-	if cold := s.spec.ColdStart.Duration; cold > 0 && time.Since(s.born) < cold {
-		warmth = 1 + 3*(1-float64(time.Since(s.born))/float64(cold))
-	}
-	took := time.Duration(float64(s.spec.Latency.Duration) * warmth * (0.5 + s.random.ExpFloat64()/2))
-	fails := s.random.Float64() < s.spec.ErrorRate
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		s.inflight--
-		s.mu.Unlock()
-	}()
-	select {
-	case <-time.After(took):
-	case <-r.Context().Done():
-		return
-	}
-	w.Header().Set("X-Backend-Load", s.report())
-	if fails {
+	w.Header().Set("X-Backend-Load", report)
+	if verdict == Erred {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
@@ -194,9 +158,10 @@
 // silent (down) and can hold each change for a random time up to a lag, so
 // that changes may also be told out of order.
 type Discovery struct {
-	listener *Faults
+	listener *Faults // nil where requests come by ServeHTTP alone
 	http     *http.Server
 	random   *rand.Rand
+	borne    borne
 
 	mu      sync.Mutex
 	seq     int64
@@ -211,13 +176,18 @@
 
 // NewDiscovery serves on a listener of the network's.
 func NewDiscovery(seed uint64, listener *Faults) *Discovery {
-	d := &Discovery{listener: listener, random: rand.New(rand.NewPCG(seed, 0xd15c)),
-		hosts: map[string]Host{}, changed: map[string]int64{}, wake: newBell(), seq: 1}
-	d.http = &http.Server{Handler: d, ReadHeaderTimeout: 5 * time.Second}
+	d := NewDiscoveryHandler(seed)
+	d.listener, d.http = listener, &http.Server{Handler: d, ReadHeaderTimeout: 5 * time.Second}
 	go d.http.Serve(listener)
 	return d
 }
 
+// NewDiscoveryHandler makes an agent without a socket: requests come by ServeHTTP.
+func NewDiscoveryHandler(seed uint64) *Discovery {
+	return &Discovery{random: rand.New(rand.NewPCG(seed, 0xd15c)),
+		hosts: map[string]Host{}, changed: map[string]int64{}, wake: newBell(), seq: 1}
+}
+
 // Address is where the agent listens by 127.0.0.1, host:port.
 func (d *Discovery) Address() string { return d.listener.At("127.0.0.1") }
 
@@ -291,6 +261,7 @@
 		http.NotFound(w, r)
 		return
 	}
+	d.borne.calls.Add(1)
 	after, _ := strconv.ParseInt(r.FormValue("after"), 10, 64)
 	waitMs, _ := strconv.ParseInt(r.FormValue("wait_ms"), 10, 64)
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(min(waitMs, 60000))*time.Millisecond)
