Let a sidecar run without sockets: hollow connections, discovery and datagrams

Need: many sidecars in one process on a virtual clock, with every decision, list and view the real one. Change: upstream's dial and exchange can be a Network's, discovery's transport any RoundTripper, the fleet's link one in memory. hollow.go makes, runs and calls such a sidecar. Nothing changes where there are sockets.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -73,6 +73,7 @@
 	Kept       json.RawMessage  // what Keep gave an earlier process
 	// Control sets options of the socket before it is bound; Opened has it afterwards.
 	Control func(network, address string, raw syscall.RawConn) error
+	Link    *link.Link // carries the datagrams in place of a socket: who made it delivers, and ends that; nil for a socket
 	Opened  func(socket syscall.Conn)
 	News    func(data []byte) // takes news of the module; nil for none
 	Changed func(living int)  // is told how many sidecars there are, whenever that is settled anew and not cut off
@@ -132,11 +133,13 @@
 		}
 	}
 	var err error
-	if f.link, err = link.Open(ctx, o.Listen, link.Options{Budget: o.DatagramsPerS, Control: o.Control, Log: o.Log}); err != nil {
-		return nil, err
-	}
-	if o.Opened != nil {
-		o.Opened(f.link.Conn())
+	if f.link = o.Link; f.link == nil {
+		if f.link, err = link.Open(ctx, o.Listen, link.Options{Budget: o.DatagramsPerS, Control: o.Control, Log: o.Log}); err != nil {
+			return nil, err
+		}
+		if o.Opened != nil {
+			o.Opened(f.link.Conn())
+		}
 	}
 	if o.News != nil {
 		from := map[netip.AddrPort]bool{}
@@ -153,7 +156,7 @@
 	if o.On {
 		self, err := o.Self()
 		if err != nil {
-			f.link.Conn().Close()
+			f.closeSocket()
 			return nil, fmt.Errorf("fleet: %w", err)
 		}
 		f.view, err = view.Open(f.link, view.Options{Self: self, Seeds: o.Peers, Kept: kept, Most: o.Members, Log: o.Log,
@@ -164,7 +167,7 @@
 				}
 			}})
 		if err != nil {
-			f.link.Conn().Close()
+			f.closeSocket()
 			return nil, err
 		}
 		var sampling context.Context
@@ -172,10 +175,19 @@
 		f.keepSamples()
 		go f.sampleUntil(sampling)
 	}
-	go f.link.Serve()
+	if o.Link == nil {
+		go f.link.Serve()
+	}
 	return f, nil
 }
 
+// closeSocket ends the link where it is of our own making.
+func (f *Fleet) closeSocket() {
+	if f.o.Link == nil {
+		f.link.Conn().Close()
+	}
+}
+
 // Close ends the view, with a goodbye unless another process of this sidecar goes on as the same member. In
 // that case the socket goes, too, so that the other has all that comes.
 func (f *Fleet) Close(goodbye bool) {
@@ -184,7 +196,7 @@
 		f.view.Close(goodbye)
 	}
 	if !goodbye {
-		f.link.Conn().Close()
+		f.closeSocket()
 	}
 }
 
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -585,6 +585,12 @@
 	w.Write(a.body) // a client that is gone by now needs no answer
 }
 
+// allowance is the time that a request gets of its client's, told in milliseconds.
+func allowance(left int64) balancer.Micros {
+	left = min(left, timeLeftMost.Milliseconds())
+	return left*1000 - min(answerMargin.Microseconds(), left*1000/marginPart)
+}
+
 // parse reads the headers of a request. Its deadline is told as the time left.
 func (s *server) parse(in *http.Request) (balancer.Request, *badRequest) {
 	var req balancer.Request
@@ -613,8 +619,7 @@
 	if err != nil || left < 0 {
 		return req, bad("X-Time-Left-Ms: %q is not a whole number of milliseconds", h.Get("X-Time-Left-Ms"))
 	}
-	left = min(left, timeLeftMost.Milliseconds())
-	req.Deadline = left*1000 - min(answerMargin.Microseconds(), left*1000/marginPart)
+	req.Deadline = allowance(left)
 	if len(s.tenants) > 0 {
 		if req.Tenant, ok = s.tenants[h.Get("X-Account")]; !ok {
 			return req, bad("X-Account: %q is not a known tenant", h.Get("X-Account"))
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -36,6 +36,7 @@
 	dialer   net.Dialer
 	idleMost time.Duration // idle connections are not used for longer
 	fields   []string      // of load reports
+	network  Network       // in place of sockets and HTTP, in a hollow sidecar; else nil
 
 	mu   sync.Mutex
 	open int // connections, those being dialled included
@@ -138,7 +139,11 @@
 		return result{status: unsent(ctx, err), err: err}
 	}
 	start := time.Now()
-	response, body, err := u.exchange(ctx, c, m, p)
+	exchange := u.exchange
+	if u.network != nil {
+		exchange = u.hollowExchange
+	}
+	response, body, err := exchange(ctx, c, m, p)
 	r := result{status: balancer.Error, took: time.Since(start), err: err}
 	var never *unsentError
 	var client *clientError
@@ -233,7 +238,12 @@
 	if c != nil || err != nil {
 		return c, err
 	}
-	raw, err := u.dialer.DialContext(ctx, "tcp", t.address)
+	var raw net.Conn
+	if u.network == nil {
+		raw, err = u.dialer.DialContext(ctx, "tcp", t.address)
+	} else {
+		raw, err = u.hollowDial(ctx, t)
+	}
 	if err != nil {
 		u.mu.Lock()
 		u.open--
@@ -241,6 +251,9 @@
 		return nil, err
 	}
 	c = &conn{Conn: raw, target: t}
+	if u.network != nil {
+		return c, nil // nothing is read from it
+	}
 	c.limit.R = patient{c}
 	c.reader = bufio.NewReader(&c.limit)
 	return c, nil
@@ -353,6 +366,9 @@
 // quiet says whether a connection is open and nothing waits to be read from it. An endpoint may close an idle
 // one at any time, and a request written after that is lost as a reset that may have run.
 func quiet(conn net.Conn) bool {
+	if h, ok := conn.(hollowConn); ok {
+		return h.Whole()
+	}
 	own, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
