Play fleets of hollow sidecars on a virtual clock

Need: what control costs by size, of each role, at rest, at load and in events, up to 1,920 sidecars. Change: internal/lab/scale plays a rung: network with zones and regions, pin servers, agents, load, events, counts by kind. Checks at the end of each: sent is borne or known as lost, each call has one outcome, all hold the list.

--- /dev/null
+++ b/internal/lab/scale/scale_test.go
@@ -0,0 +1,149 @@
+//go:build go1.25
+
+package scale
+
+import (
+	"context"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"peatpost/internal/lab"
+)
+
+// quick is a small rung: ten seconds of start, ten of rest.
+func quick(n int) Spec {
+	s := NewSpec(n)
+	s.Rate = 5
+	s.Warm, s.For = lab.Duration{Duration: 12 * time.Second}, lab.Duration{Duration: 10 * time.Second}
+	return s
+}
+
+// played plays a rung on a virtual clock.
+func played(t *testing.T, s Spec) *Result {
+	t.Helper()
+	var r *Result
+	synctest.Test(t, func(t *testing.T) {
+		var err error
+		if r, err = Play(s, Costs{Probe: 700, Conn: 500, List: 400, ListByte: 1, Datagram: 28}); err != nil {
+			t.Fatal(err)
+		}
+	})
+	return r
+}
+
+// What is sent is borne, each call has one outcome, and after each change all sidecars hold the list, at two sizes; a
+// list costs each sidecar no more than its own length.
+func TestSmallRungs(t *testing.T) {
+	for _, n := range []int{12, 24} {
+		s := quick(n)
+		s.Event = "changes"
+		r := played(t, s)
+		for _, b := range r.Broken {
+			t.Errorf("%d machines: %s", n, b)
+		}
+		p := r.Phase("changes")
+		if p.Settled <= 0 || p.Settled > 2 || p.Wrong > 0 {
+			t.Errorf("%d machines: changes settled after %v s, %d wrong", n, p.Settled, p.Wrong)
+		}
+		if r.Calls["served"] < int64(n)*200 || r.Calls["served"] < 99*(r.Calls["refused"]+r.Calls["failed"]+r.Calls["late"]) {
+			t.Errorf("%d machines: calls %v", n, r.Calls)
+		}
+		// All that is new is probed at the first list, and about once a second afterwards.
+		if got := r.Phase("start").Sidecar["probes"].Mean * 10; got < float64(n) || got > float64(n)+15 {
+			t.Errorf("%d machines: %.1f probes a sidecar in the first 10 s", n, got)
+		}
+		if got := r.Phase("steady").Sidecar["probes"].Mean; got < 0.5 || got > 1.5 {
+			t.Errorf("%d machines: %.2f probes a second afterwards", n, got)
+		}
+	}
+}
+
+// The checks of a rung find what is wrong: a transport that repeats some requests by itself, one that answers calls it
+// never carried, and an agent that leaves a sidecar's changes out.
+func TestWrongFleetsAreCaught(t *testing.T) {
+	repeats := 0
+	for name, c := range map[string]struct {
+		spoil func(n *network)
+		says  string // in Broken
+		wrong int    // processes with a wrong list
+	}{
+		"right": {func(*network) {}, "", 0},
+		"repeats a request by itself": {func(n *network) {
+			n.through = func(carry carrying) carrying {
+				return func(ctx context.Context, message kind, id string) (int, http.Header, []byte, error) {
+					if repeats++; repeats%100 == 0 {
+						carry(ctx, message, id)
+					}
+					return carry(ctx, message, id)
+				}
+			}
+		}, "were borne or lost", 0},
+		"answers probes without a server": {func(n *network) {
+			n.through = func(carry carrying) carrying {
+				return func(ctx context.Context, message kind, id string) (int, http.Header, []byte, error) {
+					if message == probes {
+						return http.StatusOK, nil, []byte("failed_ps=0,pending=0"), nil
+					}
+					return carry(ctx, message, id)
+				}
+			}
+		}, "were borne or lost", 0},
+		"leaves out changes": {func(n *network) {
+			n.answers = func(i int, agent http.Handler) http.Handler {
+				return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if i != 7 || r.FormValue("after") == "" {
+						agent.ServeHTTP(w, r)
+						return
+					}
+					answer := &recorder{header: http.Header{}}
+					agent.ServeHTTP(answer, r)
+					w.Write(regexp.MustCompile(`"hosts":.*`).ReplaceAll(answer.body.Bytes(), []byte(`"hosts":[]}`)))
+				})
+			}
+		}, "", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := quick(12)
+				s.Event = "changes"
+				f := newFleet(&s)
+				c.spoil(f.net)
+				r, err := f.play()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if broken := strings.Join(r.Broken, "; "); broken != "" != (c.says != "") || !strings.Contains(broken, c.says) {
+					t.Errorf("broken %q, want %q", broken, c.says)
+				}
+				if wrong := r.Phase("changes").Wrong; wrong > 0 != (c.wrong > 0) {
+					t.Errorf("%d processes with a wrong list, want %d", wrong, c.wrong)
+				}
+			})
+		})
+	}
+}
+
+func TestBadSpecNamesTheField(t *testing.T) {
+	for field, spoil := range map[string]func(*Spec){
+		"sidecars": func(s *Spec) { s.Sidecars = 0 },
+		"servers":  func(s *Spec) { s.Servers = MachinesMost + 1 },
+		"scope":    func(s *Spec) { s.Scope = 3 },
+		"zones":    func(s *Spec) { s.Zones = 0 },
+		"regions":  func(s *Spec) { s.Regions = 8 },
+		"rate":     func(s *Spec) { s.Rate = -1 },
+		"deadline": func(s *Spec) { s.Deadline.Duration = 0 },
+		"warm":     func(s *Spec) { s.Warm.Duration = time.Second },
+		"for":      func(s *Spec) { s.For.Duration = 0 },
+		"event":    func(s *Spec) { s.Event = "flood" },
+	} {
+		s := NewSpec(12)
+		spoil(&s)
+		if _, err := Play(s, Costs{}); err == nil || !strings.HasPrefix(err.Error(), field+": ") {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/virtual.go
@@ -0,0 +1,29 @@
+//go:build go1.25
+
+package scale
+
+import (
+	"flag"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Virtual plays a rung on a virtual clock. It needs a program of its own: testing's machinery gives the clock, ends the
+// program, and tells by its code whether all went well. What the rung came to is handed to take.
+func Virtual(spec Spec, costs Costs, take func(*Result, error)) error {
+	testing.Init()
+	flag.Parse() // what stands before the program's subcommand: nothing
+	began := time.Now()
+	all := func(string, string) (bool, error) { return true, nil }
+	testing.Main(all, []testing.InternalTest{{Name: spec.Name, F: func(t *testing.T) {
+		var r *Result
+		var err error
+		synctest.Test(t, func(*testing.T) { r, err = Play(spec, costs) })
+		if r != nil {
+			r.Wall = time.Since(began).Seconds()
+		}
+		take(r, err)
+	}}}, nil, nil)
+	return nil
+}
