Refuse a lab run that can need more file descriptors than there are

Need: 50 sidecars x 960 stand-ins at 47/s used up the 20,000 descriptors of the lab's one process without a word; the load then fails to connect (6,648 of 35,370 requests unreached), which reads as the sidecars' fault. Change: the lab reckons what an experiment can need (the formula is Descriptors' comment) and refuses before anything is up, with the number and the limit; run and search count what they play at a time. Tests: without the check in Run, TestRunRefusesTooFewDescriptors runs the experiment and fails; with a check that lets all pass, TestTooFewDescriptors fails; all of lab/*.toml pass under 20,000.

--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -113,6 +113,9 @@
 	if *repeat < 1 || *repeat > 1000 || *parallel < 1 || *parallel > 64 {
 		return fmt.Errorf("-repeat %d or -parallel %d is out of range", *repeat, *parallel)
 	}
+	if err := exp.CheckDescriptors(min(*repeat, *parallel)); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	results, err := runs(ctx, exp, *out, *repeat, *parallel)
@@ -232,6 +235,9 @@
 	if o.Seeds < 1 || o.Seeds > 100_000 || o.Parallel < 1 || o.Parallel > 64 || o.Tries < 1 {
 		return fmt.Errorf("-seeds %d, -parallel %d or -tries %d is out of range", o.Seeds, o.Parallel, o.Tries)
 	}
+	if err := exp.CheckDescriptors(min(o.Seeds, o.Parallel)); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	report, err := lab.Search(ctx, exp, o, play, *out, func(line string) { fmt.Fprintln(os.Stderr, line) })
--- /dev/null
+++ b/internal/lab/descriptors_test.go
@@ -0,0 +1,68 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// sized is an experiment of so many sidecars and servers.
+func sized(t *testing.T, sidecars, servers int, rate float64) *Experiment {
+	t.Helper()
+	text := fmt.Sprintf("duration = \"5s\"\n[fleet]\nsidecars = %d\nservers = %d\n[load]\nrate = %v\n", sidecars, servers, rate)
+	exp, err := Parse("sized.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return exp
+}
+
+// What needs more descriptors than there are is refused with both numbers; the experiments of lab/ pass under 20,000.
+func TestTooFewDescriptors(t *testing.T) {
+	big := sized(t, 50, 960, 47)
+	err := big.checkDescriptors(1, 20_000)
+	if err == nil || !strings.Contains(err.Error(), fmt.Sprint(big.Descriptors())) || !strings.Contains(err.Error(), "20000") || !strings.Contains(err.Error(), "fleet") {
+		t.Errorf("50 x 960 at 47/s under 20000: %v, want a refusal with %d and 20000", err, big.Descriptors())
+	}
+	if small := sized(t, 5, 200, 20); small.checkDescriptors(1, 20_000) != nil || small.checkDescriptors(40, 20_000) == nil {
+		t.Error("5 x 200 must pass under 20000 alone, and not 40 at a time")
+	}
+	paths, _ := filepath.Glob("../../lab/*.toml")
+	if len(paths) < 8 {
+		t.Fatalf("experiments: %v", paths)
+	}
+	for _, path := range paths {
+		exp := experiment(t, path)
+		t.Logf("%s: %d", path, exp.Descriptors())
+		if err := exp.checkDescriptors(1, 20_000); err != nil {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+}
+
+// A run refuses at its start under this process's own limit, before anything is up. It is not parallel: for its
+// time the whole process has few descriptors.
+func TestRunRefusesTooFewDescriptors(t *testing.T) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		t.Fatal(err)
+	}
+	few := limit
+	few.Cur = 200
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &few); err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
+	exp, err := Parse("few.toml", []byte("duration = \"1s\"\n[fleet]\nsidecars = 1\nservers = 2\n[load]\nrate = 200\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, err := Run(context.Background(), exp, filepath.Join(programs, "pinedale"), t.TempDir(), slog.New(slog.DiscardHandler))
+	if err == nil || result != nil || !strings.Contains(err.Error(), fmt.Sprintf("can need %d", exp.Descriptors())) || !strings.Contains(err.Error(), "its limit is 200") {
+		t.Errorf("%v, want a refusal with %d and 200", err, exp.Descriptors())
+	}
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -21,8 +21,12 @@
 // and the schedule played, everything ended, and the result reckoned. The
 // folder receives the sidecars' configurations and logs, their machines'
 // disks and, with operators, history.jsonl. Run leaves no
-// process behind, also when ctx ends early.
+// process behind, also when ctx ends early. It refuses what this process has
+// too few file descriptors for.
 func Run(ctx context.Context, exp *Experiment, program, folder string, log *slog.Logger) (*Result, error) {
+	if err := exp.CheckDescriptors(1); err != nil {
+		return nil, err
+	}
 	w, err := newWorld(exp, program, folder, log)
 	if err != nil {
 		return nil, err
