Let an experiment and a rung set the price of a probe

Need: by prices.probe the module decides how many probes it sends. The lab has 1, at which it is one a second whatever the load; the operators' deployments have 0.0014 to 0.04, at which it is 0.1 to 4 times the calls. What control costs at the target's load can be told only by such a price. Change: fleet.probe_price of an experiment, probe_price of a rung; 1 as before where it is not set. Out of range is refused by name. Result: the two tests of bad fields know it; nothing else is changed.

--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -44,6 +44,8 @@
 	View     bool     `toml:"view"`     // sidecars keep a view of the fleet, by datagrams through the lab
 	State    bool     `toml:"state"`    // sidecars keep state on their machine's disk, which outlives their crashes
 	Machines int      `toml:"machines"` // sidecars are dealt to them in turn; 0 for one each
+	// ProbePrice is the settings' prices.probe, in requests' worth: by it the module decides how many probes it sends.
+	ProbePrice float64 `toml:"probe_price"` // 0 for 1
 }
 
 // datagrams tells whether sidecars have a path between them.
@@ -227,6 +229,7 @@
 		{len(e.Fleet.Zones) == 0, "fleet.zones", "is empty"},
 		{e.Fleet.Machines < 0 || e.Fleet.Machines > e.Fleet.Sidecars, "fleet.machines", "is not within 0 to fleet.sidecars"},
 
+		{!(e.Fleet.ProbePrice >= 0 && e.Fleet.ProbePrice <= 1000), "fleet.probe_price", "is not within 0 to 1000"},
 		{e.Ops.Rate < 0 || e.Ops.Rate > 1000, "ops.rate", "is not within 0 to 1000"},
 		{!e.Ops.On && (e.Ops.Rate > 0 || len(e.Calls) > 0 || len(e.Checks) > 0), "ops.on", "is false, with calls, a rate or checks"},
 		{e.Ops.Servers < 1 || e.Ops.Rate > 0 && e.Ops.Servers > e.Fleet.Servers, "ops.servers", "is not within 1 to fleet.servers"},
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -140,6 +140,7 @@
 		strings.Replace(good, "sidecars = 2", "sidecars = 999", 1):                "fleet.sidecars",
 		strings.Replace(good, `"5s"`, `"five"`, 1):                                "duration",
 		good + "[[fault]]\nat = \"1s\"\nkind = \"kill\"\n":                        "fault[0].sidecars",
+		strings.Replace(good, "servers = 2", "servers = 2\nprobe_price = -1", 1):  "fleet.probe_price",
 		good + "[[fault]]\nat = \"1s\"\nkind = \"melt\"\n":                        "fault[0].kind",
 		good + "[[fault]]\nat = \"9s\"\nkind = \"discovery\"\n":                   "fault[0].at",
 		good + "[[fault]]\nkind = \"reset\"\nservers = [2]\n":                     "fault[0].servers",
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -191,10 +192,10 @@
  {"name":"order","repeat":"side_effect","target":%d,"give-up":%d,"credit":1}],
 "contract":{"answer-slack":20000,"ask-within":1000000,"cold-from":0.3,"drain-grace":1000000,"fall-multiple":2.5,"overload-for":1000000,"ramp-time":1},
 "limits":{"may-tell":%t,"cancel":true,"dial-timeout":250000,"keepalive":5000000,"max-retry-after":1500000,"most-held":1000,"most-tries":3,"multiplex":1,"probes":true,"retry-after":true,"second-copies":true},
-"prices":{"probe":1,"peer":0.01},
+"prices":{"probe":%v,"peer":0.01},
 "reporting":{"how":"probe","fields":["failed_ps","pending"]},"peers-total":%d,"position":%d,"zone":%d}}`,
 		i, listen, discovery, e.Seed*1000+uint64(i), more, zones, deadline*6/10, deadline, deadline*6/10, deadline, e.Fleet.Peers,
-		total, i, i%len(e.Fleet.Zones))
+		cmp.Or(e.Fleet.ProbePrice, 1), total, i, i%len(e.Fleet.Zones))
 }
 
 // Restarts lists the starts again so far, with their times to the yes.
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -139,6 +139,8 @@
 		"warm":     func(s *Spec) { s.Warm.Duration = time.Second },
 		"for":      func(s *Spec) { s.For.Duration = 0 },
 		"event":    func(s *Spec) { s.Event = "flood" },
+
+		"probe_price": func(s *Spec) { s.ProbePrice = -1 },
 	} {
 		s := NewSpec(12)
 		spoil(&s)
--- a/internal/lab/scale/spec.go
+++ b/internal/lab/scale/spec.go
@@ -36,14 +36,16 @@
 	Distant  lab.Duration `json:"distant"` // between regions
 	Rate     float64      `json:"rate"`    // calls a second of a sidecar, over its processes
 	Deadline lab.Duration `json:"deadline"`
-	Server   lab.Server   `json:"server"`
-	Peers    bool         `json:"peers"`  // news of probes' answers, to all
-	View     bool         `json:"view"`   // the fleet's view of itself
-	Spread   lab.Duration `json:"spread"` // the sidecars start within it
-	Start    lab.Duration `json:"start"`  // the phase "start", from the first start on
-	Warm     lab.Duration `json:"warm"`   // "steady" begins
-	For      lab.Duration `json:"for"`    // and lasts
-	Event    string       `json:"event,omitempty"`
+	// ProbePrice is the settings' prices.probe, in requests' worth; 0 for 1.
+	ProbePrice float64      `json:"probe_price,omitempty"`
+	Server     lab.Server   `json:"server"`
+	Peers      bool         `json:"peers"`  // news of probes' answers, to all
+	View       bool         `json:"view"`   // the fleet's view of itself
+	Spread     lab.Duration `json:"spread"` // the sidecars start within it
+	Start      lab.Duration `json:"start"`  // the phase "start", from the first start on
+	Warm       lab.Duration `json:"warm"`   // "steady" begins
+	For        lab.Duration `json:"for"`    // and lasts
+	Event      string       `json:"event,omitempty"`
 }
 
 // Events are what can happen after a rung's steady phase.
@@ -70,6 +72,7 @@
 		{s.Zones < 1 || s.Zones > 200, "zones", fmt.Sprintf("%d is not within 1 to 200", s.Zones)},
 		{s.Regions < 1 || s.Regions > s.Zones, "regions", fmt.Sprintf("%d is not within 1 to zones", s.Regions)},
 		{s.Rate < 0 || s.Rate > 1000, "rate", fmt.Sprintf("%v is not within 0 to 1000", s.Rate)},
+		{!(s.ProbePrice >= 0 && s.ProbePrice <= 1000), "probe_price", fmt.Sprintf("%v is not within 0 to 1000", s.ProbePrice)},
 		{s.Deadline.Duration < 50*time.Millisecond, "deadline", "is under 50ms"},
 		{s.Server.Capacity < 1 || s.Server.Latency.Duration <= 0, "server", "has no capacity or no latency"},
 		{s.Start.Duration <= 0, "start", "is not positive"},
@@ -127,7 +130,7 @@
 // experiment is the lab's form of the settings that every sidecar has.
 func (s *Spec) experiment() *lab.Experiment {
 	e := &lab.Experiment{Name: s.Name, Seed: s.Seed, Server: s.Server, Load: lab.Load{Rate: s.Rate, Deadline: s.Deadline},
-		Fleet: lab.Fleet{Sidecars: s.Sidecars, Servers: s.Servers, Peers: s.Peers, View: s.View}}
+		Fleet: lab.Fleet{Sidecars: s.Sidecars, Servers: s.Servers, Peers: s.Peers, View: s.View, ProbePrice: s.ProbePrice}}
 	for z := range s.Zones {
 		e.Fleet.Zones = append(e.Fleet.Zones, zoneName(z))
 	}
