Count what control costs by kind in the sidecar and tell operators

Need: the target allows 3 KB a second for control; until now only loopback bytes of the whole machine were known, with calls, probes and the start's burst in one figure. Change: probes, calls of discovery and operators' calls are counted on their connections (messages, bytes with HTTP's heads, connections), news and view by the link's counts; GET /control tells them, a log line every 10 s sums them up. Only where ops is set; nothing changes on the wire. Tests: over loopback, stand-ins count each connection's bytes on their own: equal in messages, bytes and connections for probes, discovery and orders, with calls on the same connections. Caught: probes left out, discovery left out, probes counted as discovery, discovery's bytes counted twice. go test ./internal/sidecar ./cmd/pinedale ./internal/fleet/... green.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -207,6 +207,12 @@
 	}
 }
 
+// Counts gives what passed on each channel since the start.
+func (f *Fleet) Counts() map[link.Channel]link.Count {
+	counts, _ := f.link.Counts()
+	return counts
+}
+
 // Keep is what a next process of this sidecar should be given; nil where the view is off.
 func (f *Fleet) Keep() json.RawMessage {
 	if f.view == nil {
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -77,6 +77,7 @@
 	address string
 	url     string
 	client  http.Client
+	flow    *flow // counts the calls; nil where nobody is told
 }
 
 func newDiscovery(address string) *discovery {
@@ -98,7 +99,7 @@
 		url = fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, *after, wait.Milliseconds())
 	}
 	var list registry
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	request, err := http.NewRequestWithContext(d.traced(ctx), http.MethodGet, url, nil)
 	if err != nil {
 		return list, err
 	}
@@ -111,6 +112,7 @@
 	if err != nil {
 		return list, err
 	}
+	d.flow.receive(0, true)
 	if response.StatusCode != http.StatusOK {
 		return list, fmt.Errorf("discovery answered %s", response.Status)
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -74,6 +74,7 @@
 	kept     *state.Snapshot                // what an earlier process kept, until the start
 	orders   func() *shared                 // what operators ordered; nil without operators
 	listedAt time.Time                      // wall clock when discovery last told the list
+	control  *control                       // counts what control costs; nil without operators
 
 	// Below: the loop's goroutine alone.
 	balancer  decider
@@ -129,6 +130,11 @@
 		requests: map[uint64]*request{}, ids: map[string]uint32{}, names: map[uint32]string{}, targets: map[uint32]*target{},
 		stopWatch: func() {},
 	}
+	if cfg.Ops != "" {
+		l.control = &control{since: time.Now()}
+		l.up.probes = &l.control.probe
+		l.disc.count(&l.control.discovery)
+	}
 	var err error
 	l.balancer, err = balancer.New(cfg.Settings, cfg.Seed, l)
 	return l, err
@@ -558,6 +564,7 @@
 	l.log.Info("discovery moves", "from", l.disc.address, "to", address)
 	old := l.disc
 	l.disc, l.seq = newDiscovery(address), nil
+	l.disc.count(old.flow)
 	if l.watching {
 		l.Watch(true)
 	}
--- a/internal/sidecar/ops.go
+++ b/internal/sidecar/ops.go
@@ -42,15 +42,21 @@
 
 func newOperators(s *server) *operators {
 	o := &operators{server: s, log: s.loop.log, callers: newClients(opsMost)}
+	if s.loop.control != nil {
+		o.callers.flow = &s.loop.control.orders
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", o.ready)
 	mux.HandleFunc("GET /pin-servers", o.tell)
 	mux.HandleFunc("GET /fleet", o.fleet)
+	mux.HandleFunc("GET /control", o.control)
 	mux.HandleFunc("POST /pin-servers/disable", o.ban(true))
 	mux.HandleFunc("POST /pin-servers/enable", o.ban(false))
 	mux.HandleFunc("POST /drain", o.drain(true))
 	mux.HandleFunc("POST /undrain", o.drain(false))
 	handler := func(w http.ResponseWriter, in *http.Request) {
+		o.callers.flow.receive(0, true)
+		defer o.callers.flow.send(0, true)
 		body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, opsBodyMost))
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
@@ -122,6 +128,16 @@
 	json.NewEncoder(w).Encode(status)
 }
 
+// control answers with what control has cost since the start, as JSON.
+func (o *operators) control(w http.ResponseWriter, in *http.Request) {
+	if o.server.loop.control == nil {
+		http.Error(w, "what control costs is not counted", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(o.server.loop.control.status(o.server.loop.fleet.Load()))
+}
+
 // ban answers a call that takes a pin server out of use by hand, or into use again.
 func (o *operators) ban(on bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, in *http.Request) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -348,10 +348,13 @@
 func (s *server) report(ctx context.Context) {
 	tick := time.NewTicker(reportEvery)
 	defer tick.Stop()
-	for {
+	for n := 1; ; n++ {
 		select {
 		case <-tick.C:
 			s.loop.post(s.holds)
+			if s.loop.control != nil && n%controlReport == 0 {
+				s.loop.control.log(s.loop.log, s.loop.fleet.Load())
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -37,6 +37,7 @@
 	idleMost time.Duration // idle connections are not used for longer
 	fields   []string      // of load reports
 	network  Network       // in place of sockets and HTTP, in a hollow sidecar; else nil
+	probes   *flow         // counts them; nil where nobody is told
 
 	mu   sync.Mutex
 	open int // connections, those being dialled included
@@ -93,6 +94,7 @@
 	header http.Header // X-Time-Left-Ms is written for each attempt
 	body   []byte      // all of it, or what is kept of one that still comes:
 	rest   *clientBody // the rest of it, or nil
+	flow   *flow       // counts it; nil for a client's request
 }
 
 // spent says that part of the body is gone, so that the request cannot be sent again.
@@ -135,6 +137,9 @@
 // endpoint says so; in doubt it may have run.
 func (u *upstream) attempt(ctx context.Context, t *target, m *message, p *passage) result {
 	c, err := u.connect(ctx, t)
+	if m.flow != nil && !errors.Is(err, errClosed) && !errors.Is(err, errFull) && (c == nil || c.idleAt.IsZero()) {
+		m.flow.open(err)
+	}
 	if err != nil {
 		return result{status: unsent(ctx, err), err: err}
 	}
@@ -201,7 +206,7 @@
 func (u *upstream) probe(ctx context.Context, t *target) result {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	m := &message{method: http.MethodGet, url: &url.URL{Path: "/health/live"}, host: t.address}
+	m := &message{method: http.MethodGet, url: &url.URL{Path: "/health/live"}, host: t.address, flow: u.probes}
 	if len(u.fields) > 0 {
 		m.url.Path = "/stats"
 	}
@@ -419,7 +424,9 @@
 		if err != nil {
 			return nil, nil, &unsentError{err}
 		}
-		if n, err := c.Write(data); n < len(data) {
+		n, err := c.Write(data)
+		m.flow.send(n, n == len(data))
+		if n < len(data) {
 			return nil, nil, &unsentError{err}
 		}
 	} else {
@@ -440,6 +447,7 @@
 	c.limit.N = headMost + bodyMost
 	limit := c.limit.N
 	defer func() {
+		m.flow.receive(int(limit-c.limit.N), err == nil)
 		if err != nil {
 			err = fmt.Errorf("after %d bytes of an answer: %w", limit-c.limit.N, err)
 		}
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -274,6 +274,7 @@
 	stop   context.CancelFunc // as SIGTERM does
 	ended  chan error
 	log    slog.Handler // the sidecar's; nil to discard it
+	before func(*loop)  // called before the loop runs, where not nil
 }
 
 // configure returns a configuration that knows the given list.
@@ -333,6 +334,9 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	if w.before != nil {
+		w.before(w.loop)
+	}
 	w.spy = &spy{decider: w.loop.balancer}
 	w.loop.balancer = w.spy
 	w.server = newServer(w.loop)
