Tell in the lab's result what control cost, by kind, start and steady apart

Change: with operators the lab asks every sidecar for its counts at 10 s, 15 s and the end and gives means a sidecar a second, by kind, with processor time by the scheduler's count; bramblelab control plays it by servers and calls.

--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -5,6 +5,7 @@
 //	bramblelab search [-seeds N] [-for D] EXPERIMENT.toml                     draws faults, keeps and shrinks what breaks a rule
 //	bramblelab report [-plot FILE] RESULT.json                                prints a result, and plots it again
 //	bramblelab compare A.json B.json                                          two results, or repeats, side by side
+//	bramblelab control [-servers N,N] [-rates R,R]                            what control costs, DIR/control.json
 //
 // run and search exit 1 on a bad experiment or a failed start, and 3 when a
 // rule was broken (lost, forged, run twice, sent after a drain or a ban, a
@@ -32,7 +33,8 @@
   bramblelab run [-out DIR] [-sidecar PATH] [-state on|off] [-view on|off] [-repeat N] [-parallel P] EXPERIMENT.toml
   bramblelab search [-out DIR] [-sidecar PATH] [-seeds N] [-first SEED] [-for D] [-parallel P] [-tries K] [-stop N] [-kinds K,K] EXPERIMENT.toml
   bramblelab report [-plot FILE] RESULT.json
-  bramblelab compare A.json B.json`
+  bramblelab compare A.json B.json
+  bramblelab control [-out DIR] [-sidecar PATH] [-sidecars N] [-servers N,N] [-rates R,R] [-duration D] [-parallel P]`
 
 func main() {
 	if len(os.Args) < 2 {
@@ -49,6 +51,8 @@
 		err = report(os.Args[2:])
 	case "compare":
 		err = compare(os.Args[2:])
+	case "control":
+		err = control(os.Args[2:])
 	default:
 		err = fmt.Errorf("%q is not a subcommand\n%s", os.Args[1], usage)
 	}
--- a/cmd/bramblelab/main_test.go
+++ b/cmd/bramblelab/main_test.go
@@ -59,6 +59,11 @@
 		{[]string{"report", "nowhere.json"}, 1, "nowhere.json"},
 		{[]string{"compare", "../../docs/lab/fleet50-result.json", bad}, 1, "bad.toml"},
 		{[]string{"search", "-kinds", "melt", "../../lab/search.toml"}, 1, "melt"},
+		{[]string{"control", "-servers", "0"}, 1, "-servers"},
+		{[]string{"control", "-rates", "1,x"}, 1, "-rates"},
+		{[]string{"control", "-duration", "5s"}, 1, "-duration"},
+		{[]string{"control", "-parallel", "0"}, 1, "-parallel"},
+		{[]string{"control", "-sidecars", "0"}, 1, "fleet.sidecars"},
 		{[]string{"run", "-repeat", "0", "../../lab/search.toml"}, 1, "-repeat"},
 	} {
 		if code, out := invoke(t, c.args...); code != c.code || !strings.Contains(out, c.says) {
--- /dev/null
+++ b/internal/lab/control.go
@@ -0,0 +1,197 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"peatpost/internal/sidecar"
+)
+
+// When control is looked at, on the lab's clock. Sidecars start before the load, and probe all that is new at their
+// first list: the start's burst is over by the one, and its connections by the other.
+const (
+	controlStart  = 10 * time.Second
+	controlSteady = 15 * time.Second
+	controlLeast  = 5 * time.Second // of the steady span
+	controlAsks   = 16              // sidecars asked at a time
+)
+
+// Control is what the sidecars spent on control by their own counts, with operators: in the start, from each process's
+// beginning to 10 s after the load's, and in the steady span from 15 s on to the load's end, where that is 5 s or more.
+type Control struct {
+	Start  ControlSpan  `json:"start"`
+	Steady *ControlSpan `json:"steady,omitempty"`
+}
+
+// ControlSpan is the means over sidecars; those that restarted in it are left out.
+type ControlSpan struct {
+	Sidecars  int                    `json:"sidecars"`
+	Seconds   float64                `json:"seconds"`              // that it lasted, mean
+	WireBytes float64                `json:"wire_bytes_per_s"`     // a sidecar, all kinds both ways, headers reckoned
+	MostBytes float64                `json:"wire_bytes_per_s_max"` // the sidecar with the most
+	Kinds     map[string]ControlRate `json:"kinds"`
+	CPU       float64                `json:"cpu_share"` // of a core, of the whole process, serving included
+	// What the kernel counted on the loopback interface meanwhile, all that runs in this network namespace, without Ethernet's
+	// frames, which loopback does not count.
+	LoopbackBytes   float64 `json:"loopback_bytes_per_s"`
+	LoopbackPackets float64 `json:"loopback_packets_per_s"`
+}
+
+// ControlRate is one kind, a sidecar a second.
+type ControlRate struct {
+	Sent          float64 `json:"sent_per_s"` // messages
+	SentBytes     float64 `json:"sent_bytes_per_s"`
+	Received      float64 `json:"received_per_s"`
+	ReceivedBytes float64 `json:"received_bytes_per_s"`
+	Connections   float64 `json:"connections_per_s"` // opened, accepted and failed
+	Packets       float64 `json:"packets_per_s"`     // reckoned
+	WireBytes     float64 `json:"wire_bytes_per_s"`  // reckoned
+}
+
+// controlSample is what was known at one time.
+type controlSample struct {
+	status   map[int]sidecar.ControlStatus // by sidecar
+	cpu      map[int]time.Duration
+	loopback [2]uint64 // bytes, packets
+}
+
+// controlWatch looks at all sidecars at the times above. Before is the loopback's count before they started.
+func (o *operatorsLab) controlWatch(ctx context.Context, before [2]uint64) *Control {
+	end := o.exp.Duration.Duration
+	if !o.ledger.until(ctx, min(controlStart, end)) {
+		return nil
+	}
+	start := o.controlSample()
+	c := &Control{Start: span(controlSample{loopback: before}, start, 0)}
+	if end < controlSteady+controlLeast || !o.ledger.until(ctx, controlSteady) {
+		return c
+	}
+	from, since := o.controlSample(), time.Now()
+	if !o.ledger.until(ctx, end) {
+		return c
+	}
+	steady := span(from, o.controlSample(), time.Since(since))
+	c.Steady = &steady
+	return c
+}
+
+func (o *operatorsLab) controlSample() controlSample {
+	s := controlSample{status: map[int]sidecar.ControlStatus{}, cpu: map[int]time.Duration{}}
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	places := make(chan struct{}, controlAsks)
+	for i := range o.exp.Fleet.Sidecars {
+		asking.Add(1)
+		places <- struct{}{}
+		go func() {
+			defer asking.Done()
+			defer func() { <-places }()
+			code, text := o.ask(http.MethodGet, i, "/control", "")
+			var status sidecar.ControlStatus
+			if code != http.StatusOK || json.Unmarshal([]byte(text), &status) != nil {
+				return // it is down, or comes up
+			}
+			cpu := o.sidecars.cpu(i)
+			mu.Lock()
+			defer mu.Unlock()
+			s.status[i], s.cpu[i] = status, cpu
+		}()
+	}
+	asking.Wait()
+	s.loopback = loopback()
+	return s
+}
+
+// span reckons what passed between two samples; with an elapsed time of 0, since each process's start.
+func span(from, to controlSample, elapsed time.Duration) ControlSpan {
+	s := ControlSpan{Kinds: map[string]ControlRate{}}
+	for i, now := range to.status {
+		then, ok := from.status[i]
+		seconds := now.Seconds - then.Seconds
+		if elapsed > 0 && (!ok || seconds < elapsed.Seconds()-1 || seconds > elapsed.Seconds()+1) {
+			continue // not asked, or another process
+		}
+		s.Sidecars++
+		s.Seconds += seconds
+		s.CPU += (to.cpu[i] - from.cpu[i]).Seconds() / seconds
+		wire := float64(now.WireBytes-then.WireBytes) / seconds
+		s.WireBytes += wire
+		s.MostBytes = max(s.MostBytes, wire)
+		for name, kind := range now.Kinds {
+			k, r := kind.Less(then.Kinds[name]), s.Kinds[name]
+			r.Sent += float64(k.Sent.Messages) / seconds
+			r.SentBytes += float64(k.Sent.Bytes) / seconds
+			r.Received += float64(k.Received.Messages) / seconds
+			r.ReceivedBytes += float64(k.Received.Bytes) / seconds
+			r.Connections += float64(k.Opened+k.Accepted+k.Failed) / seconds
+			r.Packets += float64(k.Sent.Packets+k.Received.Packets) / seconds
+			r.WireBytes += float64(k.Wire()) / seconds
+			s.Kinds[name] = r
+		}
+	}
+	n := float64(max(1, s.Sidecars))
+	s.Seconds, s.CPU, s.WireBytes = s.Seconds/n, s.CPU/n, s.WireBytes/n
+	for name, r := range s.Kinds {
+		s.Kinds[name] = ControlRate{r.Sent / n, r.SentBytes / n, r.Received / n, r.ReceivedBytes / n, r.Connections / n, r.Packets / n, r.WireBytes / n}
+	}
+	if s.Seconds > 0 {
+		s.LoopbackPackets = float64(to.loopback[1]-from.loopback[1]) / s.Seconds
+		s.LoopbackBytes = float64(to.loopback[0]-from.loopback[0]) / s.Seconds
+	}
+	return s
+}
+
+// loopback gives the bytes and packets that the loopback interface of this network namespace has sent.
+func loopback() (n [2]uint64) {
+	text, _ := os.ReadFile("/proc/net/dev")
+	for _, line := range strings.Split(string(text), "\n") {
+		if rest, ok := strings.CutPrefix(strings.TrimSpace(line), "lo:"); ok {
+			if fields := strings.Fields(rest); len(fields) > 9 {
+				n[0], _ = strconv.ParseUint(fields[8], 10, 64)
+				n[1], _ = strconv.ParseUint(fields[9], 10, 64)
+			}
+		}
+	}
+	return n
+}
+
+// cpu is the processor time of sidecar i's processes so far, by the scheduler's count of each thread, which is finer
+// than the ticks of Cost.
+func (s *Sidecars) cpu(i int) (sum time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.procs[i].lives {
+		threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", l.cmd.Process.Pid))
+		for _, path := range threads {
+			text, _ := os.ReadFile(path)
+			ran, _, _ := strings.Cut(string(text), " ")
+			n, _ := strconv.ParseInt(ran, 10, 64)
+			sum += time.Duration(n)
+		}
+	}
+	return sum
+}
+
+// String is two lines for people.
+func (c *Control) String() string {
+	line := func(name string, s *ControlSpan) string {
+		text := fmt.Sprintf("control, %s of %.1f s, a sidecar: %.0f B/s (most %.0f)", name, s.Seconds, s.WireBytes, s.MostBytes)
+		for _, kind := range sidecar.ControlKinds {
+			text += fmt.Sprintf(", %s %.0f", kind, s.Kinds[kind].WireBytes)
+		}
+		return text + fmt.Sprintf("; %.2f%% of a core\n", s.CPU*100)
+	}
+	text := line("start", &c.Start)
+	if c.Steady != nil {
+		text += line("steady", c.Steady)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/lab/control_table.go
@@ -0,0 +1,142 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"peatpost/internal/sidecar"
+)
+
+// ControlTable is what control costs by servers listed and calls a second.
+type ControlTable struct {
+	Format   int          `json:"format"`
+	Cores    int          `json:"cores"`
+	Parallel int          `json:"parallel"` // runs at a time, each of them of Sidecars
+	Sidecars int          `json:"sidecars"`
+	Duration Duration     `json:"duration"`
+	Settings string       `json:"settings"` // of the sidecars that decide how often they probe
+	Rows     []ControlRow `json:"rows"`
+}
+
+// ControlRow is one run.
+type ControlRow struct {
+	Servers    int             `json:"servers"`
+	Rate       float64         `json:"rate"`             // calls a second of a sidecar
+	StartBytes float64         `json:"start_bytes"`      // on the wire in all, from the process's start to 10 s of the load
+	OverMB     float64         `json:"peak_mb"`          // peak resident memory of the sidecar with the most
+	Ratio      [2]float64      `json:"reckoned_over_lo"` // reckoned bytes over loopback's, start and steady; 0 where others share it
+	Outcomes   map[Outcome]int `json:"outcomes"`         // of the calls
+	Late       bool            `json:"lab_ran_late"`     // then its times are not to be trusted
+	LateP99    float64         `json:"lab_late_p99_ms"`  // of the lab's timers
+	Control                    // start and steady
+}
+
+// probeSettings names what of the lab's settings decides the pace of probes.
+const probeSettings = "prices.probe 1, prices.peer 0.01, limits.probes true, subscribe, classes' target 0.6 s, no peers: 0.005 probes a call and 1 a second at the least"
+
+// MeasureControl plays an experiment without faults for each pair of servers and rate, so many at a time. Tell is told
+// of each row. Where one is played at a time the rows say how the reckoned bytes compare with the kernel's count, which
+// is of all that uses this network namespace's loopback interface: it means something in a namespace of its own, without calls.
+func MeasureControl(ctx context.Context, program, folder string, sidecars int, servers []int, rates []float64, duration time.Duration,
+	parallel int, tell func(string)) (*ControlTable, error) {
+	t := &ControlTable{Format: resultFormat, Cores: runtime.NumCPU(), Parallel: parallel, Sidecars: sidecars, Duration: Duration{duration}, Settings: probeSettings}
+	type pair struct {
+		servers int
+		rate    float64
+	}
+	var pairs []pair
+	for _, n := range servers {
+		for _, r := range rates {
+			pairs = append(pairs, pair{n, r})
+		}
+	}
+	rows, errs := make([]ControlRow, len(pairs)), make([]error, len(pairs))
+	places := make(chan struct{}, parallel)
+	var playing sync.WaitGroup
+	for k, p := range pairs {
+		text := fmt.Sprintf("name = \"control\"\nseed = %d\nduration = %q\n[fleet]\nsidecars = %d\nservers = %d\n[load]\nrate = %v\n[ops]\non = true\nobserve = []\n",
+			k+1, duration, sidecars, p.servers, p.rate)
+		exp, err := Parse("control", []byte(text))
+		if err == nil {
+			err = exp.CheckDescriptors(min(parallel, len(pairs)))
+		}
+		if err != nil {
+			return nil, err
+		}
+		places <- struct{}{}
+		playing.Add(1)
+		go func() {
+			defer playing.Done()
+			defer func() { <-places }()
+			result, err := Run(ctx, exp, program, filepath.Join(folder, fmt.Sprintf("%d-%v", p.servers, p.rate)), slog.New(slog.DiscardHandler))
+			switch {
+			case err != nil:
+				errs[k] = err
+				return
+			case result.Breaches() > 0:
+				errs[k] = fmt.Errorf("%d servers, %v calls/s: %d breaches", p.servers, p.rate, result.Breaches())
+				return
+			case result.Control == nil || result.Control.Steady == nil:
+				errs[k] = fmt.Errorf("%d servers, %v calls/s: cut short", p.servers, p.rate)
+				return
+			}
+			rows[k] = controlRow(p.servers, p.rate, result, parallel == 1 && p.rate == 0)
+			tell(rows[k].String())
+		}()
+	}
+	playing.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	t.Rows = rows
+	return t, nil
+}
+
+func controlRow(servers int, rate float64, r *Result, alone bool) ControlRow {
+	row := ControlRow{Servers: servers, Rate: rate, StartBytes: math.Round(r.Control.Start.WireBytes * r.Control.Start.Seconds),
+		OverMB: r.SidecarPeakMB, Outcomes: r.Outcomes, Late: r.Lateness.Late, LateP99: r.Lateness.Timers.P99, Control: *r.Control}
+	for i, s := range []*ControlSpan{&row.Start, row.Steady} {
+		if alone && s.LoopbackBytes > 0 {
+			row.Ratio[i] = s.WireBytes * float64(r.Sidecars) / s.LoopbackBytes
+		} else {
+			s.LoopbackBytes, s.LoopbackPackets = 0, 0
+		}
+	}
+	return row
+}
+
+// String is a line for people.
+func (r ControlRow) String() string {
+	return fmt.Sprintf("%d servers, %v calls/s: start %.0f bytes, steady %.0f B/s, %.2f%% of a core, %.1f MB", r.Servers, r.Rate, r.StartBytes,
+		r.Steady.WireBytes, r.Steady.CPU*100, r.OverMB)
+}
+
+// Table is the rows for people: bytes on the wire with headers, of one sidecar.
+func (t *ControlTable) Table() string {
+	var text strings.Builder
+	w := tabwriter.NewWriter(&text, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(w, "servers\tcalls/s\tstart bytes\tin s")
+	for _, kind := range sidecar.ControlKinds {
+		fmt.Fprintf(w, "\t%s B/s", kind)
+	}
+	fmt.Fprint(w, "\tsteady B/s\tprobes/s\tcore %\tpeak MB\treckoned/lo start\tsteady\t\n")
+	for _, r := range t.Rows {
+		fmt.Fprintf(w, "%d\t%v\t%.0f\t%.1f", r.Servers, r.Rate, r.StartBytes, r.Start.Seconds)
+		for _, kind := range sidecar.ControlKinds {
+			fmt.Fprintf(w, "\t%.0f", r.Steady.Kinds[kind].WireBytes)
+		}
+		fmt.Fprintf(w, "\t%.0f\t%.2f\t%.2f\t%.1f\t%.3f\t%.3f\t\n", r.Steady.WireBytes, r.Steady.Kinds["probe"].Sent, r.Steady.CPU*100, r.OverMB, r.Ratio[0], r.Ratio[1])
+	}
+	w.Flush()
+	return text.String()
+}
--- /dev/null
+++ b/internal/lab/control_test.go
@@ -0,0 +1,61 @@
+package lab
+
+import (
+	"testing"
+	"time"
+
+	"peatpost/internal/sidecar"
+)
+
+// status is a sidecar's count so many seconds after its start, of so many probes at 300 bytes both ways.
+func status(seconds float64, probes uint64) sidecar.ControlStatus {
+	k := sidecar.ControlKind{Sent: sidecar.ControlCount{Messages: probes, Bytes: 100 * probes, Packets: probes, WireBytes: 150 * probes},
+		Received: sidecar.ControlCount{Messages: probes, Bytes: 100 * probes, Packets: probes, WireBytes: 150 * probes}, Opened: probes}
+	return sidecar.ControlStatus{Seconds: seconds, Kinds: map[string]sidecar.ControlKind{"probe": k}, WireBytes: k.Wire()}
+}
+
+// Rates are of the time between two looks; a sidecar that restarted between them is left out.
+func TestControlSpans(t *testing.T) {
+	from := controlSample{status: map[int]sidecar.ControlStatus{0: status(15, 100), 1: status(15, 100), 2: status(15, 100)},
+		cpu: map[int]time.Duration{0: time.Second}, loopback: [2]uint64{1000, 10}}
+	to := controlSample{status: map[int]sidecar.ControlStatus{0: status(25, 110), 1: status(25, 130), 2: status(4, 60), 3: status(5, 7)},
+		cpu: map[int]time.Duration{0: 1200 * time.Millisecond}, loopback: [2]uint64{7000, 70}}
+	s := span(from, to, 10*time.Second)
+	p := s.Kinds["probe"]
+	if s.Sidecars != 2 || s.Seconds != 10 || s.WireBytes != 600 || s.MostBytes != 900 || s.CPU != 0.01 ||
+		p.Sent != 2 || p.Received != 2 || p.SentBytes != 200 || p.Connections != 2 || p.Packets != 4 || p.WireBytes != 600 ||
+		s.LoopbackBytes != 600 || s.LoopbackPackets != 6 {
+		t.Errorf("steady %+v", s)
+	}
+	if s := span(controlSample{}, from, 0); s.Sidecars != 3 || s.Seconds != 15 || s.WireBytes != 2000 {
+		t.Errorf("start %+v", s)
+	}
+	if s := span(from, controlSample{}, 10*time.Second); s.Sidecars != 0 || s.WireBytes != 0 {
+		t.Errorf("nobody told: %+v", s)
+	}
+}
+
+// A run with operators tells what control cost: by the sidecars' counts, the start's burst of probes and one call or two
+// of discovery each.
+func TestRunTellsControl(t *testing.T) {
+	t.Parallel()
+	exp, err := Parse("control.toml", []byte("name = \"control\"\nduration = \"3s\"\n[fleet]\nsidecars = 2\nservers = 30\n[load]\nrate = 5\n[ops]\non = true\nobserve = []\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	result := runLab(t, exp, t.TempDir())
+	c := result.Control
+	if c == nil || c.Steady != nil || c.Start.Sidecars != 2 {
+		t.Fatalf("control %+v, want the start of 2 sidecars alone", c)
+	}
+	probe, discovery, orders := c.Start.Kinds["probe"], c.Start.Kinds["discovery"], c.Start.Kinds["orders"]
+	if n := probe.Sent * c.Start.Seconds; n < 30 {
+		t.Errorf("%.1f probes a sidecar, want all 30 servers probed at the first list", n)
+	}
+	if n := discovery.Received * c.Start.Seconds; n < 1 || discovery.ReceivedBytes*c.Start.Seconds < 30*100 {
+		t.Errorf("%.1f lists of %.0f bytes, want one of 30 servers", n, discovery.ReceivedBytes*c.Start.Seconds)
+	}
+	if orders.Received <= 0 || c.Start.Kinds["news"].Sent != 0 || c.Start.WireBytes <= probe.WireBytes {
+		t.Errorf("control %+v", c.Start)
+	}
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -40,7 +40,7 @@
 			}
 		}
 	}
-	started := time.Now()
+	started, carried := time.Now(), loopback()
 	if err := w.sidecars.startAll(); err != nil {
 		return nil, err
 	}
@@ -61,9 +61,12 @@
 			newClient(i, exp, w.ledger, w.sidecars, late).run(runCtx, exp.Arrivals(i))
 		}()
 	}
+	var control *Control
 	if exp.Ops.On {
-		load.Add(1)
-		go func() { defer load.Done(); newOperatorsLab(exp, w.sidecars, w.ledger, w.history).run(runCtx) }()
+		operators := newOperatorsLab(exp, w.sidecars, w.ledger, w.history)
+		load.Add(2)
+		go func() { defer load.Done(); operators.run(runCtx) }()
+		go func() { defer load.Done(); control = operators.controlWatch(runCtx, carried) }()
 	}
 	load.Wait()
 	cancel()
@@ -79,6 +82,7 @@
 	if exp.Fleet.View && exp.Ops.On {
 		result.Views = settlings(events, played, started, w.ledger.start)
 	}
+	result.Control = control
 	result.Broken, result.Troubles = check(exp, events, running), w.sidecars.Troubles()
 	result.SidecarCPUSeconds, result.SidecarMeanMB, result.SidecarPeakMB = w.sidecars.Cost()
 	result.LabCPUSeconds, result.LabPeakMB = selfCost()
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -61,6 +61,8 @@
 
 	Views []Settling `json:"views,omitempty"` // how the sidecars' views of the fleet settled, with fleet.view and operators
 
+	Control *Control `json:"control,omitempty"` // what control cost, by kind, with operators
+
 	Restarts []Restart `json:"restarts"` // of sidecars started again after a kill or a term
 
 	SidecarCPUSeconds float64 `json:"sidecar_cpu_s"`   // over all sidecars
@@ -356,6 +358,9 @@
 	if len(r.Calls) > 0 {
 		text += fmt.Sprintf("operators' calls %v; after ban %d\n", r.Calls, r.AfterBan)
 	}
+	if r.Control != nil {
+		text += r.Control.String()
+	}
 	text += r.viewSummary()
 	for _, t := range r.Troubles {
 		text += "trouble: " + t + "\n"
