Play what control costs at several prices of a probe

Need: at the lab's own price of 1 a sidecar probes once a second whatever its load; at 0.0014 it is 3.57 times a call. Change: bramblelab control takes -prices, by default 1 and 0.0014, and each row says its own. Test: bad prices are refused by name.

--- a/cmd/bramblelab/control.go
+++ b/cmd/bramblelab/control.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -23,6 +24,7 @@
 	sidecars := flags.Int("sidecars", 1, "of each run, 1 to 300")
 	servers := flags.String("servers", "6,60,240,960", "listed, by commas, each 1 to 1000")
 	rates := flags.String("rates", "0,0.1,1,47", "calls a second of a sidecar, by commas")
+	prices := flags.String("prices", "1,0.0014", "of a probe, by commas: prices.probe of the settings, as fleet.probe_price")
 	duration := flags.Duration("duration", 60*time.Second, "of a run, at least 20s: steady is from 15 s on")
 	parallel := flags.Int("parallel", 1, "runs at a time; at 1 reckoned bytes are compared with the kernel's, where there are no calls")
 	if err := flags.Parse(args); err != nil {
@@ -49,9 +51,16 @@
 	if err != nil {
 		return err
 	}
+	each, err := numbers("-prices", *prices)
+	if err != nil {
+		return err
+	}
+	if slices.Contains(each, 0) {
+		return fmt.Errorf("-prices: 0 would stand for the lab's own, which is 1")
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	table, err := lab.MeasureControl(ctx, *program, filepath.Join(*out, "logs"), *sidecars, listed, calls, *duration, *parallel,
+	table, err := lab.MeasureControl(ctx, *program, filepath.Join(*out, "logs"), *sidecars, listed, calls, each, *duration, *parallel,
 		func(line string) { fmt.Fprintln(os.Stderr, line) })
 	if err != nil {
 		return err
--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -34,7 +34,7 @@
   bramblelab search [-out DIR] [-sidecar PATH] [-seeds N] [-first SEED] [-for D] [-parallel P] [-tries K] [-stop N] [-kinds K,K] EXPERIMENT.toml
   bramblelab report [-plot FILE] RESULT.json
   bramblelab compare A.json B.json
-  bramblelab control [-out DIR] [-sidecar PATH] [-sidecars N] [-servers N,N] [-rates R,R] [-duration D] [-parallel P]`
+  bramblelab control [-out DIR] [-sidecar PATH] [-sidecars N] [-servers N,N] [-rates R,R] [-prices P,P] [-duration D] [-parallel P]`
 
 func main() {
 	if len(os.Args) < 2 {
--- a/cmd/bramblelab/main_test.go
+++ b/cmd/bramblelab/main_test.go
@@ -61,6 +61,7 @@
 		{[]string{"search", "-kinds", "melt", "../../lab/search.toml"}, 1, "melt"},
 		{[]string{"control", "-servers", "0"}, 1, "-servers"},
 		{[]string{"control", "-rates", "1,x"}, 1, "-rates"},
+		{[]string{"control", "-prices", "-1"}, 1, "-prices"},
 		{[]string{"control", "-duration", "5s"}, 1, "-duration"},
 		{[]string{"control", "-parallel", "0"}, 1, "-parallel"},
 		{[]string{"control", "-sidecars", "0"}, 1, "fleet.sidecars"},
--- a/internal/lab/control_table.go
+++ b/internal/lab/control_table.go
@@ -30,6 +30,7 @@
 type ControlRow struct {
 	Servers    int             `json:"servers"`
 	Rate       float64         `json:"rate"`             // calls a second of a sidecar
+	Price      float64         `json:"probe_price"`      // prices.probe of the settings
 	StartBytes float64         `json:"start_bytes"`      // on the wire in all, from the process's start to 10 s of the load
 	OverMB     float64         `json:"peak_mb"`          // peak resident memory of the sidecar with the most
 	Ratio      [2]float64      `json:"reckoned_over_lo"` // reckoned bytes over loopback's, start and steady; 0 where others share it
@@ -39,34 +40,36 @@
 	Control                    // start and steady
 }
 
-// probeSettings names what of the lab's settings decides the pace of probes.
-const probeSettings = "prices.probe 1, prices.peer 0.01, limits.probes true, subscribe, classes' target 0.6 s, no peers: 0.005 probes a call and 1 a second at the least"
+// probeSettings names what else of the lab's settings decides the pace of probes.
+const probeSettings = "limits.probes true, discovery subscribe, target of the classes 0.6 s, no peers: min(4, 0.005 / probe_price) probes a call and 1 a second at the least"
 
-// MeasureControl plays an experiment without faults for each pair of servers and rate, so many at a time. Tell is told
+// MeasureControl plays an experiment without faults for all of these servers, rates and prices, so many at a time. Tell is told
 // of each row. Where one is played at a time the rows say how the reckoned bytes compare with the kernel's count, which
 // is of all that uses this network namespace's loopback interface: it means something in a namespace of its own, without calls.
-func MeasureControl(ctx context.Context, program, folder string, sidecars int, servers []int, rates []float64, duration time.Duration,
+func MeasureControl(ctx context.Context, program, folder string, sidecars int, servers []int, rates, prices []float64, duration time.Duration,
 	parallel int, tell func(string)) (*ControlTable, error) {
 	t := &ControlTable{Format: resultFormat, Cores: runtime.NumCPU(), Parallel: parallel, Sidecars: sidecars, Duration: Duration{duration}, Settings: probeSettings}
-	type pair struct {
-		servers int
-		rate    float64
+	type point struct {
+		servers     int
+		rate, price float64
 	}
-	var pairs []pair
-	for _, n := range servers {
-		for _, r := range rates {
-			pairs = append(pairs, pair{n, r})
+	var points []point
+	for _, price := range prices {
+		for _, n := range servers {
+			for _, r := range rates {
+				points = append(points, point{n, r, price})
+			}
 		}
 	}
-	rows, errs := make([]ControlRow, len(pairs)), make([]error, len(pairs))
+	rows, errs := make([]ControlRow, len(points)), make([]error, len(points))
 	places := make(chan struct{}, parallel)
 	var playing sync.WaitGroup
-	for k, p := range pairs {
-		text := fmt.Sprintf("name = \"control\"\nseed = %d\nduration = %q\n[fleet]\nsidecars = %d\nservers = %d\n[load]\nrate = %v\n[ops]\non = true\nobserve = []\n",
-			k+1, duration, sidecars, p.servers, p.rate)
+	for k, p := range points {
+		text := fmt.Sprintf("name = \"control\"\nseed = %d\nduration = %q\n[fleet]\nsidecars = %d\nservers = %d\nprobe_price = %v\n[load]\nrate = %v\n[ops]\non = true\nobserve = []\n",
+			k+1, duration, sidecars, p.servers, p.price, p.rate)
 		exp, err := Parse("control", []byte(text))
 		if err == nil {
-			err = exp.CheckDescriptors(min(parallel, len(pairs)))
+			err = exp.CheckDescriptors(min(parallel, len(points)))
 		}
 		if err != nil {
 			return nil, err
@@ -76,7 +79,7 @@
 		go func() {
 			defer playing.Done()
 			defer func() { <-places }()
-			result, err := Run(ctx, exp, program, filepath.Join(folder, fmt.Sprintf("%d-%v", p.servers, p.rate)), slog.New(slog.DiscardHandler))
+			result, err := Run(ctx, exp, program, filepath.Join(folder, fmt.Sprintf("%d-%v-%v", p.servers, p.rate, p.price)), slog.New(slog.DiscardHandler))
 			switch {
 			case err != nil:
 				errs[k] = err
@@ -88,7 +91,7 @@
 				errs[k] = fmt.Errorf("%d servers, %v calls/s: cut short", p.servers, p.rate)
 				return
 			}
-			rows[k] = controlRow(p.servers, p.rate, result, parallel == 1 && p.rate == 0)
+			rows[k] = controlRow(p.servers, p.rate, p.price, result, parallel == 1 && p.rate == 0)
 			tell(rows[k].String())
 		}()
 	}
@@ -102,8 +105,8 @@
 	return t, nil
 }
 
-func controlRow(servers int, rate float64, r *Result, alone bool) ControlRow {
-	row := ControlRow{Servers: servers, Rate: rate, StartBytes: math.Round(r.Control.Start.WireBytes * r.Control.Start.Seconds),
+func controlRow(servers int, rate, price float64, r *Result, alone bool) ControlRow {
+	row := ControlRow{Servers: servers, Rate: rate, Price: price, StartBytes: math.Round(r.Control.Start.WireBytes * r.Control.Start.Seconds),
 		OverMB: r.SidecarPeakMB, Outcomes: r.Outcomes, Late: r.Lateness.Late, LateP99: r.Lateness.Timers.P99, Control: *r.Control}
 	for i, s := range []*ControlSpan{&row.Start, row.Steady} {
 		if alone && s.LoopbackBytes > 0 {
@@ -117,7 +120,7 @@
 
 // String is a line for people.
 func (r ControlRow) String() string {
-	return fmt.Sprintf("%d servers, %v calls/s: start %.0f bytes, steady %.0f B/s, %.2f%% of a core, %.1f MB", r.Servers, r.Rate, r.StartBytes,
+	return fmt.Sprintf("price %v, %d servers, %v calls/s: start %.0f bytes, steady %.0f B/s, %.2f%% of a core, %.1f MB", r.Price, r.Servers, r.Rate, r.StartBytes,
 		r.Steady.WireBytes, r.Steady.CPU*100, r.OverMB)
 }
 
@@ -125,13 +128,13 @@
 func (t *ControlTable) Table() string {
 	var text strings.Builder
 	w := tabwriter.NewWriter(&text, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprint(w, "servers\tcalls/s\tstart bytes\tin s")
+	fmt.Fprint(w, "price\tservers\tcalls/s\tstart bytes\tin s")
 	for _, kind := range sidecar.ControlKinds {
 		fmt.Fprintf(w, "\t%s B/s", kind)
 	}
 	fmt.Fprint(w, "\tsteady B/s\tprobes/s\tcore %\tpeak MB\treckoned/lo start\tsteady\t\n")
 	for _, r := range t.Rows {
-		fmt.Fprintf(w, "%d\t%v\t%.0f\t%.1f", r.Servers, r.Rate, r.StartBytes, r.Start.Seconds)
+		fmt.Fprintf(w, "%v\t%d\t%v\t%.0f\t%.1f", r.Price, r.Servers, r.Rate, r.StartBytes, r.Start.Seconds)
 		for _, kind := range sidecar.ControlKinds {
 			fmt.Fprintf(w, "\t%.0f", r.Steady.Kinds[kind].WireBytes)
 		}
