Give up a connection to discovery that does not come up with the call that wants it

Cause: net/http leaves a dial to come up by itself when its call is given up, and the dial had no limit of its own. Two such dials hold both connections that discovery may have, and the system tries them again after 1, 3, 7, 15 and 31 s: discovery that was unreachable without a word for 20 s is next heard 11.6 s after its return, at the settings of today (virtual time, lists pushed; a change counts as told after 6 s).

Change: a dial has 4 s, as the call. The discovery's dial is a field, so that a test can stand in for the network.

The counts wrap the same dial.

--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -85,9 +85,8 @@
 		return
 	}
 	d.flow = f
-	var dialer net.Dialer
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := d.connect(ctx, network, address)
 		f.open(err)
 		if err != nil {
 			return nil, err
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -78,11 +78,21 @@
 	url     string
 	client  http.Client
 	flow    *flow // counts the calls; nil where nobody is told
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func newDiscovery(address string) *discovery {
-	return &discovery{address: address, url: "http://" + address + "/registry/instances",
-		client: http.Client{Transport: &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2}}}
+	d := &discovery{address: address, url: "http://" + address + "/registry/instances", dial: new(net.Dialer).DialContext}
+	d.client.Transport = &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, DialContext: d.connect}
+	return d
+}
+
+// connect opens a connection, or gives up as the call does that wants it: net/http would leave it to come up, and the
+// system would try for minutes, at ever longer intervals, while later calls stand behind it.
+func (d *discovery) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, listPatience)
+	defer cancel()
+	return d.dial(ctx, network, address)
 }
 
 // list makes one call. With after it asks for what is newer than that version,
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -565,6 +565,7 @@
 	old := l.disc
 	l.disc, l.seq = newDiscovery(address), nil
 	l.disc.count(old.flow)
+	l.disc.dial = old.dial
 	if l.watching {
 		l.Watch(true)
 	}
