Give up the call for the whole list after 4 s also where a watch's versions began anew

Cause: a watch that is told an older version asks for the whole list next, a call that does not wait, but had the patience of one that waits for news (21 s): discovery that was silent on it for 1.5 s was next heard 20.5 s later (virtual time).

Change: the long patience is for calls that name a version. TestWholeListIsAskedForAgainSoon fails without it with 20.5 s.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -99,7 +99,7 @@
 // which may be 0, and waits for news as long as wait; without, for the whole list.
 func (d *discovery) list(ctx context.Context, after *uint64, wait time.Duration) (registry, error) {
 	patience := listPatience
-	if wait > 0 {
+	if wait > 0 && after != nil {
 		patience = wait + waitPatience
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
--- a/internal/sidecar/told_test.go
+++ b/internal/sidecar/told_test.go
@@ -306,3 +306,18 @@
 		})
 	}
 }
+
+// Versions that begin anew are no reason to wait for longer: the call for the whole list does not wait, and is given up as
+// such a call is.
+func TestWholeListIsAskedForAgainSoon(t *testing.T) {
+	for way, alter := range waysToAsk {
+		synctest.Test(t, func(t *testing.T) {
+			zero := time.Now()
+			a := &agentIn{how: refuses, down: zero, back: zero.Add(10 * time.Millisecond), anew: true}
+			a.wholeFrom = zero.Add(1500 * time.Millisecond)
+			if late := learns(t, alter, a, 0, true).Sub(a.wholeFrom); late > toldMost-toldMargin {
+				t.Errorf("%s: known %v after the whole list could be had", way, late)
+			}
+		})
+	}
+}
