Bound the pauses between calls of discovery, whatever ask-within the settings name

Cause (Subscribe): pauses grew to 1.5 x ask-within/4 after a call that may itself be silent for 4 s: at the default of 10 s a change was known 7.1 s after discovery's return, at a minute 21 s, at an hour never in the test's time (a change counts as told after 6 s). At 1 ms and 0 the balancer asked again each time before an answer could come, without end: never told.

Change: first calls are spread over 1 s at most; a pause counts from the call's beginning, so that it is short after a call that took long, and is at most 3.75 s; a call still out is left alone for 5 s. At the default the pauses after calls that fail at once are as before but for the first two (0.17 to 0.5 s for 0.25 to 0.75, then twice as long).

TestChangeIsKnownSoonAfterDiscoverysReturn now also with ask-within 0, 1 s, 10 s and 1 h: worst 4.29 s, or 1.48 s after a wait's end (2 s allowed); TestSlowDiscoveryIsHeard. Each fails without its part: no bound on the pause 5.02 s and never, counted from the failure 5.1 s (bound 5 s), asked again by ask-within 0: never, first calls spread by an hour: never.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -50,7 +50,7 @@
 	b.credit, b.passOf = budgetBurst, passLeast
 	b.asks = min(probeMost, askSpend/b.s.Prices.Probe) // a price of 0 asks for the most
 	if b.s.Subscribe {                                 // all may start at once: spread their first calls
-		b.askIn(now, 1+b.rng.below(b.s.Contract.AskWithin/10))
+		b.askIn(now, 1+b.rng.below(min(b.s.Contract.AskWithin/10, askSpread)))
 	}
 	if b.s.Limits.Probes {
 		b.out.Timer(1+b.rng.below(probeGap), tokenProbe)
@@ -342,6 +342,16 @@
 	return nil
 }
 
+// What discovery could have told counts as told 6 s after it could be reached again, and 2 s after the end
+// of a wait for news. The host gives a silent call up after 4 s, or 1 s past its wait: no pause after it may
+// take as long as what is left, whatever the settings name.
+const (
+	askSpread = second         // at most, of the first calls after all have started at once
+	askLeast  = second / 3     // a pause is half to one and a half of this after a call that took long,
+	askMost   = 5 * second / 2 // and of this at most, from its beginning, after one that failed at once
+	askLasts  = 5 * second     // a call still out is not given up for another before
+)
+
 func (b *Balancer) askIn(now, delay Micros) {
 	b.askAt = now + delay
 	b.out.Timer(delay, tokenDiscovery)
@@ -350,16 +360,18 @@
 func (b *Balancer) ask(now Micros) {
 	if b.s.Subscribe && !b.subscribed && now >= b.askAt {
 		b.out.Watch(true)
+		b.askedAt = now
 		// The answer may be lost, and without one we would never hear again.
-		b.askIn(now, 1+b.s.Contract.AskWithin/2+b.rng.below(b.s.Contract.AskWithin/4))
+		b.askIn(now, 1+askLasts+b.rng.below(askLasts/2))
 	}
 }
 
 // retryAsk asks discovery again, later each time and never in step with others.
 func (b *Balancer) retryAsk(now Micros) {
 	if b.s.Subscribe {
-		b.askWait = min(max(2*b.askWait, b.s.Contract.AskWithin/20), b.s.Contract.AskWithin/4)
-		b.askIn(now, 1+b.askWait/2+b.rng.below(b.askWait))
+		b.askWait = max(askLeast, min(2*b.askWait, b.s.Contract.AskWithin/4, askMost))
+		next := b.askedAt + b.askWait/2 + b.rng.below(b.askWait)
+		b.askIn(now, 1+max(next-now, askLeast/2+b.rng.below(askLeast)))
 	}
 }
 
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -34,6 +34,7 @@
 
 	subscribed bool
 	askAt      Micros // next call of discovery, unless subscribed by then
+	askedAt    Micros // latest call that was asked for
 	askWait    Micros
 
 	classes  []classStats
--- a/internal/sidecar/told_test.go
+++ b/internal/sidecar/told_test.go
@@ -250,6 +250,14 @@
 // whatever time the settings name for that.
 var waysToAsk = map[string]func(map[string]any){"pushed": func(s map[string]any) { s["discovery"] = "automatic" }}
 
+func init() {
+	for _, within := range []time.Duration{0, time.Second, 10 * time.Second, time.Hour} {
+		waysToAsk[fmt.Sprint("asked within ", within)] = func(s map[string]any) {
+			s["contract"].(map[string]any)["ask-within"] = within.Microseconds()
+		}
+	}
+}
+
 // A change counts as told toldMost after discovery had it and could be reached, whatever calls failed before, and what a
 // waiting call missed waitMost after its wait's end, if that is later. The margins are for answers that are on their way
 // and for a busy machine.
@@ -321,3 +329,16 @@
 		})
 	}
 }
+
+// A call that discovery is slow to answer is left to it, whatever time the settings name for asking again.
+func TestSlowDiscoveryIsHeard(t *testing.T) {
+	for way, alter := range waysToAsk {
+		synctest.Test(t, func(t *testing.T) {
+			zero := time.Now()
+			a := &agentIn{how: refuses, down: zero, back: zero, slow: 3 * time.Second}
+			if late := learns(t, alter, a, 0, false).Sub(zero); late > toldMost-toldMargin {
+				t.Errorf("%s: known %v after the start", way, late)
+			}
+		})
+	}
+}
