Measure what a sidecar adds to a call, straight and through it in turn

Change: bramblelab latency sends one open-loop stream of calls, straight and through one real sidecar in turn, ten plays a rate with processes of their own, and tells p50, p99 and p99.9 of both ways and what was added, with the spread of plays. Test: a short play serves all calls of both ways, as many of each; bad flags are refused by name.

--- /dev/null
+++ b/cmd/bramblelab/latency.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"peatpost/internal/lab"
+)
+
+// latency measures what one sidecar adds to a call.
+func latency(args []string) error {
+	flags := flag.NewFlagSet("latency", flag.ContinueOnError)
+	out := flags.String("out", "lab-out", "folder for latency.json and the logs")
+	program := flags.String("sidecar", "bin/pinedale", "the sidecar's program")
+	rates := flags.String("rates", "47,200", "calls a second of each way, by commas")
+	var o lab.LatencyOptions
+	flags.IntVar(&o.Servers, "servers", 6, "pin servers, 1 to 1000")
+	flags.IntVar(&o.Plays, "plays", 10, "plays of each rate, 1 to 100")
+	flags.DurationVar(&o.Warm, "warm", 2*time.Second, "of each play, not counted")
+	flags.DurationVar(&o.Duration, "duration", 15*time.Second, "of each play, counted, 100ms to 10m")
+	flags.Float64Var(&o.ProbePrice, "price", 1, "of a probe: prices.probe of the settings")
+	flags.Uint64Var(&o.Seed, "seed", 1, "of the first play")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	if flags.NArg() > 0 {
+		return fmt.Errorf("latency takes flags alone\n%s", usage)
+	}
+	all, err := numbers("-rates", *rates)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	var results []*lab.Latency
+	for _, rate := range all {
+		o.Rate = rate
+		result, err := lab.MeasureLatency(ctx, *program, filepath.Join(*out, "logs"), o, func(line string) { fmt.Fprintln(os.Stderr, line) })
+		if err != nil {
+			return fmt.Errorf("-%w", err) // it names the flag
+		}
+		fmt.Print(result.Table())
+		results = append(results, result)
+	}
+	return lab.WriteJSON(filepath.Join(*out, "latency.json"), results)
+}
--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -5,6 +5,7 @@
 //	bramblelab search [-seeds N] [-for D] EXPERIMENT.toml                     draws faults, keeps and shrinks what breaks a rule
 //	bramblelab report [-plot FILE] RESULT.json                                prints a result, and plots it again
 //	bramblelab compare A.json B.json                                          two results, or repeats, side by side
+//	bramblelab latency [-rates R,R] [-plays N]                                what a sidecar adds to a call, DIR/latency.json
 //	bramblelab control [-servers N,N] [-rates R,R]                            what control costs, DIR/control.json
 //
 // run and search exit 1 on a bad experiment or a failed start, and 3 when a
@@ -34,6 +35,7 @@
   bramblelab search [-out DIR] [-sidecar PATH] [-seeds N] [-first SEED] [-for D] [-parallel P] [-tries K] [-stop N] [-kinds K,K] EXPERIMENT.toml
   bramblelab report [-plot FILE] RESULT.json
   bramblelab compare A.json B.json
+  bramblelab latency [-out DIR] [-sidecar PATH] [-servers N] [-rates R,R] [-plays N] [-warm D] [-duration D] [-price P] [-seed N]
   bramblelab control [-out DIR] [-sidecar PATH] [-sidecars N] [-servers N,N] [-rates R,R] [-prices P,P] [-duration D] [-parallel P]`
 
 func main() {
@@ -51,6 +53,8 @@
 		err = report(os.Args[2:])
 	case "compare":
 		err = compare(os.Args[2:])
+	case "latency":
+		err = latency(os.Args[2:])
 	case "control":
 		err = control(os.Args[2:])
 	default:
