Play chains of services with hollow sidecars, and count attempts at the last

Need: calls are up to nine deep and tries multiply by level; what bounds attempts over the chain was reckoned by nobody. Change: internal/lab/scale plays a chain on the virtual clock: real loop, module and pool of every caller, time left told by each attempt, failures at the last level; the same chain without sidecars and the product reckoned stand beside it. Bad fields and flags are refused by name.

--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -5,6 +5,7 @@
 //	bramblelab search [-seeds N] [-for D] EXPERIMENT.toml                     draws faults, keeps and shrinks what breaks a rule
 //	bramblelab report [-plot FILE] RESULT.json                                prints a result, and plots it again
 //	bramblelab compare A.json B.json                                          two results, or repeats, side by side
+//	bramblelab chain [-levels N] [-fails S,S]                                 attempts over services in a row, DIR/chain.json
 //	bramblelab latency [-rates R,R] [-plays N]                                what a sidecar adds to a call, DIR/latency.json
 //	bramblelab control [-servers N,N] [-rates R,R]                            what control costs, DIR/control.json
 //
@@ -35,6 +36,7 @@
   bramblelab search [-out DIR] [-sidecar PATH] [-seeds N] [-first SEED] [-for D] [-parallel P] [-tries K] [-stop N] [-kinds K,K] EXPERIMENT.toml
   bramblelab report [-plot FILE] RESULT.json
   bramblelab compare A.json B.json
+  bramblelab chain [-out DIR] [-levels N] [-size N] [-rate R] [-fails S,S] [-deadline D] [-for D] [-plain N,N] [-plain-rate R] [-parallel P] [-seed N]
   bramblelab latency [-out DIR] [-sidecar PATH] [-servers N] [-rates R,R] [-plays N] [-warm D] [-duration D] [-price P] [-seed N]
   bramblelab control [-out DIR] [-sidecar PATH] [-sidecars N] [-servers N,N] [-rates R,R] [-prices P,P] [-duration D] [-parallel P]`
 
@@ -53,6 +55,8 @@
 		err = report(os.Args[2:])
 	case "compare":
 		err = compare(os.Args[2:])
+	case "chain":
+		err = chain(os.Args[2:])
 	case "latency":
 		err = latency(os.Args[2:])
 	case "control":
--- /dev/null
+++ b/internal/lab/scale/chain.go
@@ -0,0 +1,470 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"peatpost/internal/lab"
+	"peatpost/internal/sidecar"
+)
+
+// Chain is a chain of services: callers at the edge call level 1, each server of a level calls the next one through the
+// sidecar beside it, and the last level's servers fail a share of what they run. Times are virtual.
+type Chain struct {
+	Levels   int          `json:"levels"`   // 1 to 12
+	Size     int          `json:"size"`     // servers of each level; callers and sidecars at the edge
+	Rate     float64      `json:"rate"`     // calls a second of each caller, drawn after Poisson
+	Fail     float64      `json:"fail"`     // share that the last level fails from the warm time on, 0 to 1
+	Deadline lab.Duration `json:"deadline"` // of a caller's call
+	Latency  lab.Duration `json:"latency"`  // mean of a server's own work
+	Way      lab.Duration `json:"way"`      // one way between machines
+	Warm     lab.Duration `json:"warm"`     // without failures
+	Early    lab.Duration `json:"early"`    // of the failures' time, told apart
+	For      lab.Duration `json:"for"`      // with failures, Early included
+	// Plain is how many attempts a call gets where callers try servers in turn by themselves, without a sidecar, its
+	// breakers and its budget; 0 for sidecars. It is what the sidecars are compared with.
+	Plain int    `json:"plain,omitempty"`
+	Seed  uint64 `json:"seed"`
+}
+
+// NewChain is a chain nine deep at the target's load.
+func NewChain() Chain {
+	d := func(d time.Duration) lab.Duration { return lab.Duration{Duration: d} }
+	return Chain{Levels: 9, Size: 6, Rate: 47, Deadline: d(time.Second), Latency: d(5 * time.Millisecond), Way: d(400 * time.Microsecond),
+		Warm: d(20 * time.Second), Early: d(10 * time.Second), For: d(40 * time.Second), Seed: 30}
+}
+
+// Validate names the first field that cannot be.
+func (c *Chain) Validate() error {
+	for _, f := range []struct {
+		bad         bool
+		field, what string
+	}{
+		{c.Levels < 1 || c.Levels > 12, "levels", "is not within 1 to 12"},
+		{c.Size < 1 || c.Size > 50, "size", "is not within 1 to 50"},
+		{!(c.Rate > 0 && c.Rate <= 1000), "rate", "is not within 0 to 1000, or is 0"},
+		{!(c.Fail >= 0 && c.Fail <= 1), "fail", "is not within 0 to 1"},
+		{c.Deadline.Duration < 50*time.Millisecond || c.Deadline.Duration > time.Minute, "deadline", "is not within 50ms to 1m"},
+		{c.Latency.Duration <= 0, "latency", "is not positive"},
+		{c.Way.Duration < 0, "way", "is negative"},
+		{c.Warm.Duration <= 0 || c.Early.Duration <= 0, "warm", "or early is not positive"},
+		{c.For.Duration <= c.Early.Duration, "for", "is not longer than early"},
+		{c.Plain < 0 || c.Plain > 5, "plain", "is not within 0 to 5"},
+	} {
+		if f.bad {
+			return fmt.Errorf("%s %s", f.field, f.what)
+		}
+	}
+	return nil
+}
+
+// ChainResult is a chain as played.
+type ChainResult struct {
+	Spec   Chain        `json:"spec"`
+	Phases []ChainPhase `json:"phases"` // warm, early, late
+	Broken []string     `json:"broken"` // checks that did not hold
+	Wall   float64      `json:"wall_s"`
+}
+
+// ChainPhase is one time of it: the edge's calls that were sent in it, and all that came of them.
+type ChainPhase struct {
+	Name     string           `json:"name"`
+	Seconds  float64          `json:"seconds"`
+	Calls    int64            `json:"calls"` // of the edge
+	Outcomes map[string]int64 `json:"outcomes"`
+	P50      float64          `json:"p50_ms"` // of the edge's calls, whatever came of them
+	P99      float64          `json:"p99_ms"`
+	Levels   []ChainLevel     `json:"levels"`
+	// PerCall is attempts at the last level for each call of the edge.
+	PerCall float64 `json:"last_attempts_per_call"`
+}
+
+// ChainLevel is one level.
+type ChainLevel struct {
+	Calls    int64   `json:"calls"`    // of the level before it
+	Attempts int64   `json:"attempts"` // at its servers
+	PerCall  float64 `json:"attempts_per_call"`
+	// LeftMs is the time that its attempts told their servers, in milliseconds: the mean.
+	LeftMs float64 `json:"time_left_ms"`
+}
+
+const chainPhases = 3
+
+var chainPhaseNames = [chainPhases]string{"warm", "early", "late"}
+
+// chain is one as it is played.
+type chain struct {
+	spec     *Chain
+	began    time.Time
+	servers  [][]*chainServer // by level, from 0
+	edge     []*chainCaller
+	agents   []*lab.Discovery
+	failing  atomic.Bool
+	outcomes [chainPhases][outcomes]atomic.Int64
+	placed   [chainPhases]atomic.Int64
+	calls    [chainPhases][]atomic.Int64 // by level called
+	attempts [chainPhases][]atomic.Int64
+	leftMs   [chainPhases][]atomic.Int64
+	running  sync.WaitGroup
+	arrived  atomic.Int64 // attempts that came to a server's machine, for the check
+	sent     atomic.Int64 // and all that left
+	unheard  atomic.Int64 // and those given up on the way
+
+	mu     sync.Mutex
+	random *rand.Rand
+	took   [chainPhases]*hdrhistogram.Histogram // µs
+}
+
+// chainServer is a hollow pin server and the caller beside it.
+type chainServer struct {
+	*lab.Serving
+	level, number int
+	next          *chainCaller // nil at the last level
+}
+
+// chainCaller calls a level, through a sidecar or plainly.
+type chainCaller struct {
+	chain  *chain
+	level  int             // that it calls
+	hollow *sidecar.Hollow // nil for plain
+	conns  []sidecar.Connection
+}
+
+func (c *chain) phase() int {
+	switch at := time.Since(c.began); {
+	case at < c.spec.Warm.Duration:
+		return 0
+	case at < c.spec.Warm.Duration+c.spec.Early.Duration:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// phaseOf is the phase in which the edge's call was sent that an attempt belongs to: its id begins with it.
+func phaseOf(id string) int { return int(id[0] - '0') }
+
+// call makes one call of the level and gives its code.
+func (k *chainCaller) call(ctx context.Context, id string, left time.Duration) int {
+	k.chain.calls[phaseOf(id)][k.level].Add(1)
+	if k.hollow != nil {
+		return k.hollow.Call(ctx, "read", id, left)
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	code := sidecar.CodeLeft
+	for try := 0; try < k.chain.spec.Plain && ctx.Err() == nil; try++ {
+		var err error
+		if code, _, _, err = k.conns[k.chain.draw(len(k.conns))].Do(ctx, "/read/"+id, id); err != nil {
+			code = http.StatusBadGateway
+		}
+		if code == http.StatusOK {
+			return code
+		}
+	}
+	if code == http.StatusInternalServerError {
+		code = http.StatusBadGateway
+	}
+	return code
+}
+
+func (c *chain) draw(n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.IntN(n)
+}
+
+// chainNetwork is what lies before one level.
+type chainNetwork struct {
+	chain *chain
+	level int
+}
+
+// Dial opens a connection to a server of the level.
+func (n *chainNetwork) Dial(ctx context.Context, address string) (sidecar.Connection, error) {
+	_, port, _ := strings.Cut(address, ":")
+	number, err := strconv.Atoi(port)
+	if number -= firstPort; err != nil || number < 0 || number >= len(n.chain.servers[n.level]) {
+		return nil, errRefused
+	}
+	if !wait(ctx, 2*n.chain.spec.Way.Duration) {
+		return nil, ctx.Err()
+	}
+	return &chainConn{server: n.chain.servers[n.level][number], chain: n.chain}, nil
+}
+
+type chainConn struct {
+	server *chainServer
+	chain  *chain
+	closed atomic.Bool
+}
+
+// Whole says whether it was not closed.
+func (c *chainConn) Whole() bool { return !c.closed.Load() }
+
+// Close closes it.
+func (c *chainConn) Close() { c.closed.Store(true) }
+
+// Do brings a request to the server and its answer back. The time that the attempt has left is told in whole
+// milliseconds, as X-Time-Left-Ms tells it; who gives the attempt up closes its connection, and the server's own call
+// ends with that.
+func (c *chainConn) Do(ctx context.Context, path, id string) (int, http.Header, []byte, error) {
+	s, way := c.server, c.chain.spec.Way.Duration
+	if id == "" { // a probe
+		if !wait(ctx, way) {
+			return 0, nil, nil, ctx.Err()
+		}
+		report := s.Report()
+		if !wait(ctx, way) {
+			return 0, nil, nil, ctx.Err()
+		}
+		return http.StatusOK, nil, []byte(report), nil
+	}
+	until, ok := ctx.Deadline()
+	if !ok {
+		return 0, nil, nil, errors.New("an attempt without a deadline")
+	}
+	left := max(0, time.Until(until).Truncate(time.Millisecond))
+	phase := phaseOf(id)
+	c.chain.sent.Add(1)
+	c.chain.attempts[phase][s.level].Add(1)
+	c.chain.leftMs[phase][s.level].Add(left.Milliseconds())
+	if !wait(ctx, way) {
+		c.chain.unheard.Add(1)
+		return 0, nil, nil, ctx.Err()
+	}
+	c.chain.arrived.Add(1)
+	came, code := time.Now(), http.StatusOK
+	verdict, report := s.Run(ctx, func() {
+		if s.next != nil {
+			code = s.next.call(ctx, id, max(0, left-time.Since(came)))
+		}
+	})
+	header := http.Header{"X-Backend-Load": {report}}
+	switch {
+	case verdict == lab.Left:
+		return 0, nil, nil, ctx.Err()
+	case verdict == lab.TurnedAway:
+		code, header = http.StatusServiceUnavailable, http.Header{"X-Unprocessed": {"1"}}
+	case code != http.StatusOK || s.next == nil && c.chain.fails():
+		code = http.StatusInternalServerError // it has run, whatever kept the next level from answering
+	}
+	if !wait(ctx, way) {
+		return 0, nil, nil, ctx.Err()
+	}
+	return code, header, []byte("ok:" + id), nil
+}
+
+// fails draws whether the last level fails a request.
+func (c *chain) fails() bool {
+	if !c.failing.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Float64() < c.spec.Fail
+}
+
+// PlayChain plays a chain on the clock that holds: a program's is virtual (see VirtualChain).
+func PlayChain(spec Chain) (*ChainResult, error) {
+	if err := spec.Validate(); err != nil {
+		return nil, err
+	}
+	c := &chain{spec: &spec, began: time.Now(), random: rand.New(rand.NewPCG(spec.Seed, 9))}
+	for p := range chainPhases {
+		c.calls[p], c.attempts[p], c.leftMs[p] = make([]atomic.Int64, spec.Levels), make([]atomic.Int64, spec.Levels), make([]atomic.Int64, spec.Levels)
+		c.took[p] = hdrhistogram.New(1, 120_000_000, 3)
+	}
+	work := lab.Server{Capacity: 256, Queue: 256, Latency: spec.Latency}
+	for level := range spec.Levels {
+		agent := lab.NewDiscoveryHandler(spec.Seed + uint64(level))
+		var all []*chainServer
+		for j := range spec.Size {
+			s := &chainServer{Serving: lab.NewServing(work, spec.Seed+uint64(level*spec.Size+j)), level: level, number: j}
+			all = append(all, s)
+			agent.Set(lab.Host{Host: fmt.Sprintf("l%d-%d", level, j), Dial: "127.0.0.1:" + strconv.Itoa(firstPort+j), Site: "z0", Class: "m",
+				Health: "Ready", Share: 1, BornMs: s.Born().UnixMilli() - time.Hour.Milliseconds()}, nil)
+		}
+		c.servers, c.agents = append(c.servers, all), append(c.agents, agent)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	for i := range spec.Size {
+		caller, err := c.caller(ctx, i, 0)
+		if err != nil {
+			end()
+			return nil, err
+		}
+		c.edge = append(c.edge, caller)
+		for level := range spec.Levels - 1 {
+			if c.servers[level][i].next, err = c.caller(ctx, i, level+1); err != nil {
+				end()
+				return nil, err
+			}
+		}
+	}
+	for i, caller := range c.edge {
+		c.running.Add(1)
+		go func() {
+			defer c.running.Done()
+			c.load(caller, rand.New(rand.NewPCG(spec.Seed, uint64(i)+100)))
+		}()
+	}
+	time.Sleep(spec.Warm.Duration)
+	c.failing.Store(true)
+	time.Sleep(spec.For.Duration)
+	time.Sleep(spec.Deadline.Duration + time.Second)
+	end()
+	c.running.Wait()
+	time.Sleep(time.Minute) // timers run out
+	return c.result(), nil
+}
+
+// caller makes the one number i of those that call a level.
+func (c *chain) caller(ctx context.Context, i, level int) (*chainCaller, error) {
+	k := &chainCaller{chain: c, level: level}
+	if c.spec.Plain > 0 {
+		for _, s := range c.servers[level] {
+			k.conns = append(k.conns, &chainConn{server: s, chain: c})
+		}
+		return k, nil
+	}
+	exp := &lab.Experiment{Name: "chain", Seed: c.spec.Seed + uint64(level), Load: lab.Load{Deadline: c.spec.Deadline},
+		Fleet: lab.Fleet{Sidecars: c.spec.Size, Servers: c.spec.Size, Zones: []string{"z0"}}}
+	cfg, err := sidecar.ParseConfig(exp.SidecarConfig(i, c.spec.Size, "127.0.0.1:1", "127.0.0.1:2", ""))
+	if err != nil {
+		return nil, err
+	}
+	net := &network{spec: &Spec{Zones: 1, Regions: 1}}
+	way := &client{network: net, sent: &tally{}}
+	k.hollow, err = sidecar.NewHollow(ctx, cfg, sidecar.Surroundings{Network: &chainNetwork{chain: c, level: level},
+		Discovery: &caller{client: way, agent: &agent{}, handler: c.agents[level]}, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		return nil, err
+	}
+	c.running.Add(1)
+	go func() { defer c.running.Done(); k.hollow.Run() }()
+	return k, nil
+}
+
+// load sends an edge caller's calls until the failures' time is over.
+func (c *chain) load(k *chainCaller, random *rand.Rand) {
+	for k.hollow != nil && !k.hollow.Listed() {
+		time.Sleep(100 * time.Millisecond)
+	}
+	ends := c.spec.Warm.Duration + c.spec.For.Duration
+	for n := 0; ; n++ {
+		time.Sleep(time.Duration(random.ExpFloat64() / c.spec.Rate * float64(time.Second)))
+		if time.Since(c.began) >= ends {
+			return
+		}
+		phase := c.phase()
+		id := strconv.Itoa(phase) + strconv.FormatUint(random.Uint64(), 16)
+		c.placed[phase].Add(1)
+		c.running.Add(1)
+		go func() {
+			defer c.running.Done()
+			sent := time.Now()
+			code := k.call(context.Background(), id, c.spec.Deadline.Duration)
+			took := time.Since(sent)
+			o := failed
+			switch {
+			case code == http.StatusOK && took > c.spec.Deadline.Duration+50*time.Millisecond:
+				o = late
+			case code == http.StatusOK:
+				o = served
+			case code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable:
+				o = refused
+			}
+			c.outcomes[phase][o].Add(1)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.took[phase].RecordValue(took.Microseconds())
+		}()
+	}
+}
+
+func (c *chain) result() *ChainResult {
+	r := &ChainResult{Spec: *c.spec, Broken: []string{}}
+	lengths := [chainPhases]time.Duration{c.spec.Warm.Duration, c.spec.Early.Duration, c.spec.For.Duration - c.spec.Early.Duration}
+	per := func(a, b int64) float64 {
+		if b == 0 {
+			return 0
+		}
+		return float64(a) / float64(b)
+	}
+	for p := range chainPhases {
+		phase := ChainPhase{Name: chainPhaseNames[p], Seconds: lengths[p].Seconds(), Calls: c.placed[p].Load(), Outcomes: map[string]int64{},
+			P50: float64(c.took[p].ValueAtQuantile(50)) / 1000, P99: float64(c.took[p].ValueAtQuantile(99)) / 1000}
+		ended := int64(0)
+		for o, name := range outcomeNames {
+			if n := c.outcomes[p][o].Load(); n > 0 {
+				phase.Outcomes[name] = n
+				ended += n
+			}
+		}
+		if ended != phase.Calls {
+			r.Broken = append(r.Broken, fmt.Sprintf("%s: %d calls, %d outcomes", phase.Name, phase.Calls, ended))
+		}
+		for level := range c.spec.Levels {
+			calls, attempts := c.calls[p][level].Load(), c.attempts[p][level].Load()
+			phase.Levels = append(phase.Levels, ChainLevel{calls, attempts, per(attempts, calls), per(c.leftMs[p][level].Load(), attempts)})
+		}
+		phase.PerCall = per(phase.Levels[c.spec.Levels-1].Attempts, phase.Calls)
+		r.Phases = append(r.Phases, phase)
+	}
+	if sent, arrived, unheard := c.sent.Load(), c.arrived.Load(), c.unheard.Load(); sent != arrived+unheard {
+		r.Broken = append(r.Broken, fmt.Sprintf("%d attempts were sent, %d came and %d were given up", sent, arrived, unheard))
+	}
+	return r
+}
+
+// Naive is the attempts at the last level for each call of the edge, reckoned, where every level makes so many attempts
+// at the most until one succeeds, nothing else ends them, and the last level fails this share.
+func Naive(levels, tries int, fail float64) float64 {
+	product := 1.0
+	for range levels {
+		sum, all := 0.0, 1.0 // all: the chance that an attempt is made
+		for range tries {
+			sum += all
+			all *= fail
+		}
+		product *= sum
+		fail = all // of the level before: all of its attempts failed
+	}
+	return product
+}
+
+// ChainTable is chains for people.
+func ChainTable(results []*ChainResult) string {
+	var text strings.Builder
+	w := tabwriter.NewWriter(&text, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(w, "tries\tfail\tphase\tcalls\tserved\trefused\tfailed\tlate\tp99 ms\tlast/call\tby level: attempts a call\tlast's time left ms\t\n")
+	for _, r := range results {
+		for _, p := range r.Phases {
+			tries := "sidecar"
+			if r.Spec.Plain > 0 {
+				tries = fmt.Sprintf("plain %d", r.Spec.Plain)
+			}
+			var by []string
+			for _, l := range p.Levels {
+				by = append(by, fmt.Sprintf("%.2f", l.PerCall))
+			}
+			fmt.Fprintf(w, "%s\t%v\t%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.3f\t%s\t%.0f\t\n", tries, r.Spec.Fail, p.Name, p.Calls, p.Outcomes["served"],
+				p.Outcomes["refused"], p.Outcomes["failed"], p.Outcomes["late"], p.P99, p.PerCall, strings.Join(by, " "), p.Levels[len(p.Levels)-1].LeftMs)
+		}
+	}
+	w.Flush()
+	return text.String()
+}
