Tell a restarted sidecar from one that answered late, in the lab's look at control

Change: a sidecar's own time between two looks is held against that between its own two answers, and may differ by 2 s; bramblelab control fails a row for which a sidecar did not tell, where it wrote zeros.

--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -22,6 +22,7 @@
 	controlSteady = 15 * time.Second
 	controlLeast  = 5 * time.Second // of the steady span
 	controlAsks   = 16              // sidecars asked at a time
+	controlSlack  = 2 * time.Second // a sidecar's time between two looks may differ from the lab's by so much
 )
 
 // Control is what the sidecars spent on control by their own counts, with operators: in the start, from each process's
@@ -59,6 +60,7 @@
 // controlSample is what was known at one time.
 type controlSample struct {
 	status   map[int]sidecar.ControlStatus // by sidecar
+	at       map[int]time.Duration         // when it had answered
 	cpu      map[int]time.Duration
 	loopback [2]uint64 // bytes, packets
 }
@@ -70,21 +72,21 @@
 		return nil
 	}
 	start := o.controlSample()
-	c := &Control{Start: span(controlSample{loopback: before}, start, 0)}
+	c := &Control{Start: span(controlSample{loopback: before}, start)}
 	if end < controlSteady+controlLeast || !o.ledger.until(ctx, controlSteady) {
 		return c
 	}
-	from, since := o.controlSample(), time.Now()
+	from := o.controlSample()
 	if !o.ledger.until(ctx, end) {
 		return c
 	}
-	steady := span(from, o.controlSample(), time.Since(since))
+	steady := span(from, o.controlSample())
 	c.Steady = &steady
 	return c
 }
 
 func (o *operatorsLab) controlSample() controlSample {
-	s := controlSample{status: map[int]sidecar.ControlStatus{}, cpu: map[int]time.Duration{}}
+	s := controlSample{status: map[int]sidecar.ControlStatus{}, at: map[int]time.Duration{}, cpu: map[int]time.Duration{}}
 	var mu sync.Mutex
 	var asking sync.WaitGroup
 	places := make(chan struct{}, controlAsks)
@@ -102,7 +104,7 @@
 			cpu := o.sidecars.cpu(i)
 			mu.Lock()
 			defer mu.Unlock()
-			s.status[i], s.cpu[i] = status, cpu
+			s.status[i], s.at[i], s.cpu[i] = status, o.ledger.Since(), cpu
 		}()
 	}
 	asking.Wait()
@@ -110,14 +112,15 @@
 	return s
 }
 
-// span reckons what passed between two samples; with an elapsed time of 0, since each process's start.
-func span(from, to controlSample, elapsed time.Duration) ControlSpan {
+// span reckons what passed between two samples; from one without sidecars, since each process's start.
+func span(from, to controlSample) ControlSpan {
 	s := ControlSpan{Kinds: map[string]ControlRate{}}
 	for i, now := range to.status {
 		then, ok := from.status[i]
 		seconds := now.Seconds - then.Seconds
-		if elapsed > 0 && (!ok || seconds < elapsed.Seconds()-1 || seconds > elapsed.Seconds()+1) {
-			continue // not asked, or another process
+		off := time.Duration(seconds*float64(time.Second)) - (to.at[i] - from.at[i])
+		if from.status != nil && (!ok || off.Abs() > controlSlack) {
+			continue // it did not answer, or is another process
 		}
 		s.Sidecars++
 		s.Seconds += seconds
--- a/internal/lab/control_table.go
+++ b/internal/lab/control_table.go
@@ -87,8 +87,8 @@
 			case result.Breaches() > 0:
 				errs[k] = fmt.Errorf("%d servers, %v calls/s: %d breaches", p.servers, p.rate, result.Breaches())
 				return
-			case result.Control == nil || result.Control.Steady == nil:
-				errs[k] = fmt.Errorf("%d servers, %v calls/s: cut short", p.servers, p.rate)
+			case result.Control == nil || result.Control.Steady == nil || result.Control.Steady.Sidecars < sidecars:
+				errs[k] = fmt.Errorf("%d servers, %v calls/s: cut short, or a sidecar did not tell", p.servers, p.rate)
 				return
 			}
 			rows[k] = controlRow(p.servers, p.rate, p.price, result, parallel == 1 && p.rate == 0)
--- a/internal/lab/control_test.go
+++ b/internal/lab/control_test.go
@@ -16,21 +16,22 @@
 
 // Rates are of the time between two looks; a sidecar that restarted between them is left out.
 func TestControlSpans(t *testing.T) {
-	from := controlSample{status: map[int]sidecar.ControlStatus{0: status(15, 100), 1: status(15, 100), 2: status(15, 100)},
+	at := func(d time.Duration) map[int]time.Duration { return map[int]time.Duration{0: d, 1: d, 2: d, 3: d} }
+	from := controlSample{at: at(14 * time.Second), status: map[int]sidecar.ControlStatus{0: status(15, 100), 1: status(15, 100), 2: status(15, 100)},
 		cpu: map[int]time.Duration{0: time.Second}, loopback: [2]uint64{1000, 10}}
-	to := controlSample{status: map[int]sidecar.ControlStatus{0: status(25, 110), 1: status(25, 130), 2: status(4, 60), 3: status(5, 7)},
+	to := controlSample{at: at(24500 * time.Millisecond), status: map[int]sidecar.ControlStatus{0: status(25, 110), 1: status(25, 130), 2: status(4, 60), 3: status(5, 7)},
 		cpu: map[int]time.Duration{0: 1200 * time.Millisecond}, loopback: [2]uint64{7000, 70}}
-	s := span(from, to, 10*time.Second)
+	s := span(from, to)
 	p := s.Kinds["probe"]
 	if s.Sidecars != 2 || s.Seconds != 10 || s.WireBytes != 600 || s.MostBytes != 900 || s.CPU != 0.01 ||
 		p.Sent != 2 || p.Received != 2 || p.SentBytes != 200 || p.Connections != 2 || p.Packets != 4 || p.WireBytes != 600 ||
 		s.LoopbackBytes != 600 || s.LoopbackPackets != 6 {
 		t.Errorf("steady %+v", s)
 	}
-	if s := span(controlSample{}, from, 0); s.Sidecars != 3 || s.Seconds != 15 || s.WireBytes != 2000 {
+	if s := span(controlSample{}, from); s.Sidecars != 3 || s.Seconds != 15 || s.WireBytes != 2000 {
 		t.Errorf("start %+v", s)
 	}
-	if s := span(from, controlSample{}, 10*time.Second); s.Sidecars != 0 || s.WireBytes != 0 {
+	if s := span(from, controlSample{}); s.Sidecars != 0 || s.WireBytes != 0 {
 		t.Errorf("nobody told: %+v", s)
 	}
 }
