Keep the rows of a control table in which calls were lost, and say so

Seen: one play of 32 rows on a machine that stalled lost its whole table for 23 calls lost in one row. Change: a row tells its breaches; the table is written and the command ends with 3, as run does.

--- a/cmd/bramblelab/control.go
+++ b/cmd/bramblelab/control.go
@@ -66,7 +66,13 @@
 		return err
 	}
 	fmt.Print(table.Table())
-	return lab.WriteJSON(filepath.Join(*out, "control.json"), table)
+	if err := lab.WriteJSON(filepath.Join(*out, "control.json"), table); err != nil {
+		return err
+	}
+	if n := table.Breaches(); n > 0 {
+		return breachError(n)
+	}
+	return nil
 }
 
 // numbers reads rates by commas; the error names the flag.
--- a/internal/lab/control_table.go
+++ b/internal/lab/control_table.go
@@ -35,6 +35,7 @@
 	OverMB     float64         `json:"peak_mb"`          // peak resident memory of the sidecar with the most
 	Ratio      [2]float64      `json:"reckoned_over_lo"` // reckoned bytes over loopback's, start and steady; 0 where others share it
 	Outcomes   map[Outcome]int `json:"outcomes"`         // of the calls
+	Breaches   int             `json:"breaches"`         // of the rules: calls lost, as on a machine that stalls
 	Late       bool            `json:"lab_ran_late"`     // then its times are not to be trusted
 	LateP99    float64         `json:"lab_late_p99_ms"`  // of the lab's timers
 	Control                    // start and steady
@@ -84,9 +85,6 @@
 			case err != nil:
 				errs[k] = err
 				return
-			case result.Breaches() > 0:
-				errs[k] = fmt.Errorf("%d servers, %v calls/s: %d breaches", p.servers, p.rate, result.Breaches())
-				return
 			case result.Control == nil || result.Control.Steady == nil || result.Control.Steady.Sidecars < sidecars:
 				errs[k] = fmt.Errorf("%d servers, %v calls/s: cut short, or a sidecar did not tell", p.servers, p.rate)
 				return
@@ -107,7 +105,7 @@
 
 func controlRow(servers int, rate, price float64, r *Result, alone bool) ControlRow {
 	row := ControlRow{Servers: servers, Rate: rate, Price: price, StartBytes: math.Round(r.Control.Start.WireBytes * r.Control.Start.Seconds),
-		OverMB: r.SidecarPeakMB, Outcomes: r.Outcomes, Late: r.Lateness.Late, LateP99: r.Lateness.Timers.P99, Control: *r.Control}
+		OverMB: r.SidecarPeakMB, Outcomes: r.Outcomes, Breaches: r.Breaches(), Late: r.Lateness.Late, LateP99: r.Lateness.Timers.P99, Control: *r.Control}
 	for i, s := range []*ControlSpan{&row.Start, row.Steady} {
 		if alone && s.LoopbackBytes > 0 {
 			row.Ratio[i] = s.WireBytes * float64(r.Sidecars) / s.LoopbackBytes
@@ -120,8 +118,20 @@
 
 // String is a line for people.
 func (r ControlRow) String() string {
-	return fmt.Sprintf("price %v, %d servers, %v calls/s: start %.0f bytes, steady %.0f B/s, %.2f%% of a core, %.1f MB", r.Price, r.Servers, r.Rate, r.StartBytes,
+	text := fmt.Sprintf("price %v, %d servers, %v calls/s: start %.0f bytes, steady %.0f B/s, %.2f%% of a core, %.1f MB", r.Price, r.Servers, r.Rate, r.StartBytes,
 		r.Steady.WireBytes, r.Steady.CPU*100, r.OverMB)
+	if r.Breaches > 0 || r.Late {
+		text += fmt.Sprintf("; %d breaches, the lab's timers %.1f ms late at p99: %v", r.Breaches, r.LateP99, r.Outcomes)
+	}
+	return text
+}
+
+// Breaches counts them over the rows.
+func (t *ControlTable) Breaches() (n int) {
+	for _, r := range t.Rows {
+		n += r.Breaches
+	}
+	return n
 }
 
 // Table is the rows for people: bytes on the wire with headers, of one sidecar.
