Count what stand-ins bear in the lab, a sample a second

Need: hollow and real sidecars are held against each other by what pin servers and discovery bear, burst and rest apart. Change: result.json has borne: probes, calls, connections, bytes of payload, calls of discovery, datagrams and the loopback device's bytes and packets, from the start of the sidecars on.

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -46,9 +46,10 @@
 // lived through it are reset at its end.
 type Faults struct {
 	net.Listener
-	net  *Network
-	self endpoint
-	sub  subnet
+	net     *Network
+	self    endpoint
+	sub     subnet
+	carried carried
 
 	mu        sync.Mutex
 	resetting int // faults that reset connections
@@ -125,6 +126,7 @@
 		}
 		f.conns[c] = struct{}{}
 		f.mu.Unlock()
+		f.carried.conns.Add(1)
 		f.recheck()
 		return c, nil
 	}
@@ -202,6 +204,7 @@
 func (c *faultConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
+		c.faults.carried.in.Add(int64(n))
 		c.got.Store(time.Now().UnixNano())
 		if held := c.pass(c.peer, c.faults.self); held != nil {
 			return 0, held
@@ -215,7 +218,9 @@
 	if err := c.pass(c.faults.self, c.peer); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.faults.carried.out.Add(int64(n))
+	return n, err
 }
 
 // Close ends the connection.
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -41,6 +41,10 @@
 		}
 	}
 	started, carried := time.Now(), loopback()
+	sampling, sampled := context.WithCancel(ctx)
+	defer sampled()
+	samples := make(chan []Borne, 1)
+	go func() { samples <- w.sampleBorne(sampling) }()
 	if err := w.sidecars.startAll(); err != nil {
 		return nil, err
 	}
@@ -84,6 +88,11 @@
 	}
 	result.Control = control
 	result.Broken, result.Troubles = check(exp, events, running), w.sidecars.Troubles()
+	sampled()
+	result.Borne = <-samples
+	for i := range result.Borne {
+		result.Borne[i].At = result.Borne[i].at.Sub(w.ledger.start).Seconds()
+	}
 	result.SidecarCPUSeconds, result.SidecarMeanMB, result.SidecarPeakMB = w.sidecars.Cost()
 	result.LabCPUSeconds, result.LabPeakMB = selfCost()
 	if w.peers != nil {
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -65,6 +65,8 @@
 
 	Restarts []Restart `json:"restarts"` // of sidecars started again after a kill or a term
 
+	Borne []Borne `json:"borne"` // what stand-ins bore, a sample a second
+
 	SidecarCPUSeconds float64 `json:"sidecar_cpu_s"`   // over all sidecars
 	SidecarMeanMB     float64 `json:"sidecar_mean_mb"` // peak resident memory of one, mean
 	SidecarPeakMB     float64 `json:"sidecar_peak_mb"` // peak resident memory of one, largest
