Climb a ladder of hollow fleets up to 1,920, and hold them against real processes

Need: what a sidecar, a pin server and discovery's agent send and bear at 60 to 1,920, at rest, at load and in events. The module's events are timed in a hollow sidecar. No agreement is claimed yet.

--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -8,6 +8,8 @@
 //	bramblelab chain [-levels N] [-fails S,S]                                 attempts over services in a row, DIR/chain.json
 //	bramblelab latency [-rates R,R] [-plays N]                                what a sidecar adds to a call, DIR/latency.json
 //	bramblelab control [-servers N,N] [-rates R,R]                            what control costs, DIR/control.json
+//	bramblelab scale [-out DIR] [-rungs N,N]                                  fleets of hollow sidecars up to 1,920, see docs/design-scale.md
+//	bramblelab scale -agree [-out DIR]                                        hollow sidecars held against real processes
 //
 // run and search exit 1 on a bad experiment or a failed start, and 3 when a
 // rule was broken (lost, forged, run twice, sent after a drain or a ban, a
@@ -38,7 +40,9 @@
   bramblelab compare A.json B.json
   bramblelab chain [-out DIR] [-levels N] [-size N] [-rate R] [-fails S,S] [-deadline D] [-for D] [-plain N,N] [-plain-rate R] [-parallel P] [-seed N]
   bramblelab latency [-out DIR] [-sidecar PATH] [-servers N] [-rates R,R] [-plays N] [-warm D] [-duration D] [-price P] [-seed N]
-  bramblelab control [-out DIR] [-sidecar PATH] [-sidecars N] [-servers N,N] [-rates R,R] [-prices P,P] [-duration D] [-parallel P]`
+  bramblelab control [-out DIR] [-sidecar PATH] [-sidecars N] [-servers N,N] [-rates R,R] [-prices P,P] [-duration D] [-parallel P]
+  bramblelab scale [-out DIR] [-rungs N,N] [-only KIND,KIND] [-parallel P]
+  bramblelab scale -agree [-out DIR] [-seeds N,N] [-sidecar PATH]`
 
 func main() {
 	if len(os.Args) < 2 {
@@ -61,6 +65,10 @@
 		err = latency(os.Args[2:])
 	case "control":
 		err = control(os.Args[2:])
+	case "scale":
+		err = scaleRun(os.Args[2:])
+	case "scale-rung": // for scale's own use
+		err = scaleRung(os.Args[2:])
 	default:
 		err = fmt.Errorf("%q is not a subcommand\n%s", os.Args[1], usage)
 	}
--- /dev/null
+++ b/internal/lab/scale/agree.go
@@ -0,0 +1,261 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"peatpost/internal/lab"
+)
+
+// Agreement is hollow sidecars held against real processes under the same settings.
+type Agreement struct {
+	Goal float64    `json:"goal"` // the most that a figure may deviate for its row to be used
+	Rows []AgreeRow `json:"rows"`
+}
+
+// AgreeRow is one fleet, played both ways with each seed.
+type AgreeRow struct {
+	Sidecars int           `json:"sidecars"`
+	Servers  int           `json:"servers"`
+	Rate     float64       `json:"rate"` // calls a second a sidecar
+	Peers    bool          `json:"peers"`
+	Seeds    []uint64      `json:"seeds"`
+	Late     int           `json:"late"` // plays in which the lab ran late
+	Figures  []AgreeFigure `json:"figures"`
+	Used     bool          `json:"used"` // no figure is beyond the goal
+}
+
+// AgreeFigure is one figure: means over the seeds, least and largest.
+type AgreeFigure struct {
+	Name       string     `json:"name"`
+	Real       float64    `json:"real"`
+	RealSpan   [2]float64 `json:"real_span"`
+	Hollow     float64    `json:"hollow"`
+	HollowSpan [2]float64 `json:"hollow_span"`
+	Deviation  float64    `json:"deviation"` // of hollow, as a share of real
+	Judged     bool       `json:"judged"`    // it counts for the goal
+}
+
+// AgreeSpec is a row's rung: all ways are as short as loopback's.
+func AgreeSpec(sidecars, servers int, rate float64, peers bool, seed uint64) Spec {
+	s := NewSpec(servers)
+	s.Name = fmt.Sprintf("agree-%dx%d-%v-%v-%d", sidecars, servers, rate, peers, seed)
+	s.Sidecars, s.Rate, s.Peers, s.Seed = sidecars, rate, peers, seed
+	way := lab.Duration{Duration: 60 * time.Microsecond}
+	s.Near, s.Far, s.Distant = way, way, way
+	s.Server.ColdStart.Duration = 0
+	s.Warm.Duration, s.For.Duration = 10*time.Second, agreeFor
+	s.Regions = 1
+	return s
+}
+
+// agreeFor is the window: as long as discovery's calls are apart.
+const agreeFor = 20 * time.Second
+
+// agreeFrom is when it begins, on the lab's clock, which starts once all sidecars are ready.
+const agreeFrom = 8 * time.Second
+
+// agreeNames are the figures. Rates are of the whole fleet.
+var agreeNames = []string{"probes/s", "attempts/s", "connections/s", "discovery calls/s", "server payload B/s", "discovery payload B/s",
+	"datagrams/s", "start probes a sidecar", "served %", "late %", "refused %", "failed %"}
+
+// unjudged are shown alone: their real value is so small, or so near to 0, that a share says nothing.
+func judged(name string, real, hollow float64) bool {
+	if strings.HasSuffix(name, "%") && name != "served %" {
+		return max(real, hollow) >= 1
+	}
+	return max(real, hollow) > 0
+}
+
+// HeadBytes are payload bytes of HTTP, measured: a probe's and a call's request and answer together, and discovery's
+// call without its answer's body.
+type HeadBytes struct{ Probe, Attempt, List float64 }
+
+// real plays a row's rung with real processes, or takes what an earlier go left in the folder.
+func real(ctx context.Context, s Spec, program, folder string) (*lab.Result, error) {
+	file := filepath.Join(folder, s.Name+"-real.json")
+	if result, err := lab.ReadResult(file); err == nil {
+		return result, nil
+	}
+	e := s.experiment()
+	e.Duration.Duration = agreeFrom + agreeFor + 500*time.Millisecond
+	e.Load.Shape = "poisson"
+	result, err := lab.Run(ctx, e, program, filepath.Join(folder, s.Name), slog.New(slog.DiscardHandler))
+	if err != nil {
+		return nil, err
+	}
+	return result, lab.WriteJSON(file, result)
+}
+
+// realFigures gives the figures of a play with real processes.
+func realFigures(s Spec, result *lab.Result) map[string]float64 {
+	from, to := borneAt(result.Borne, agreeFrom), borneAt(result.Borne, agreeFrom+agreeFor)
+	span := to.At - from.At
+	per := func(a, b int64) float64 { return float64(b-a) / span }
+	figures := map[string]float64{"probes/s": per(from.Probes, to.Probes), "attempts/s": per(from.Calls, to.Calls), "connections/s": per(from.Conns, to.Conns),
+		"discovery calls/s": per(from.Lists, to.Lists), "server payload B/s": per(from.Bytes, to.Bytes), "discovery payload B/s": per(from.ListBytes, to.ListBytes),
+		"datagrams/s": per(from.Datagrams, to.Datagrams), "loopback B/s": per(from.LoopbackBytes, to.LoopbackBytes), "loopback packets/s": per(from.LoopbackPacks, to.LoopbackPacks)}
+	// What came before the window, less what the steady rate makes of the time since the sidecars were up, is the start's.
+	figures["start probes a sidecar"] = (float64(from.Probes) - figures["probes/s"]*(from.At+startMean(result.Borne))) / float64(s.Sidecars)
+	all := 0
+	for _, n := range result.Outcomes {
+		all += n
+	}
+	share := func(o lab.Outcome) float64 { return 100 * float64(result.Outcomes[o]) / math.Max(1, float64(all)) }
+	if all > 0 {
+		figures["served %"], figures["late %"] = share(lab.Served), share(lab.Late)+share(lab.Excused)
+		figures["refused %"], figures["failed %"] = share(lab.Refused), share(lab.Failed)
+	}
+	return figures
+}
+
+// borneAt is the sample nearest to an instant.
+func borneAt(all []lab.Borne, at time.Duration) lab.Borne {
+	best := all[0]
+	for _, b := range all {
+		if math.Abs(b.At-at.Seconds()) < math.Abs(best.At-at.Seconds()) {
+			best = b
+		}
+	}
+	return best
+}
+
+// startMean is how long before the lab's clock the sidecars began to probe, in seconds: the first sample with a probe,
+// at the latest 0.
+func startMean(all []lab.Borne) float64 {
+	for _, b := range all {
+		if b.Probes > 0 {
+			return math.Max(0, -b.At)
+		}
+	}
+	return 0
+}
+
+// figures gives the same of a rung as played.
+func (r *Result) figures(h HeadBytes) map[string]float64 {
+	p, n := r.Phase("steady"), float64(r.Spec.Sidecars)
+	of := func(k kind) float64 { return p.Sidecar[kindNames[k]].Mean * n }
+	f := map[string]float64{"probes/s": of(probes) - of(unheard), "attempts/s": of(attempts), "connections/s": of(probeConns) + of(attemptConns),
+		"discovery calls/s": of(lists), "server payload B/s": of(probes)*h.Probe + of(attempts)*h.Attempt,
+		"discovery payload B/s": of(lists)*h.List + of(listBytes), "datagrams/s": of(newsBorne) + of(viewBorne)}
+	// The start's windows and what lies between them and the steady phase's begin.
+	start := r.Phase("start")
+	f["start probes a sidecar"] = start.Sidecar["probes"].Mean*(start.To-start.From) - p.Sidecar["probes"].Mean*(start.To-r.Spec.Spread.Seconds()/2)
+	all := int64(0)
+	for _, c := range r.Calls {
+		all += c
+	}
+	if all -= r.Calls["cut"]; all > 0 { // of those that a rung's end cut nothing is known
+		for _, o := range []string{"served", "late", "refused", "failed"} {
+			f[o+" %"] = 100 * float64(r.Calls[o]) / float64(all)
+		}
+	}
+	return f
+}
+
+// row makes a row of the plays of its seeds.
+func (a *Agreement) row(s Spec, seeds []uint64, late int, real, hollow []map[string]float64) {
+	row := AgreeRow{Sidecars: s.Sidecars, Servers: s.Servers, Rate: s.Rate, Peers: s.Peers, Seeds: seeds, Late: late, Used: true}
+	for _, name := range agreeNames {
+		f := AgreeFigure{Name: name}
+		f.Real, f.RealSpan = spread(real, name)
+		f.Hollow, f.HollowSpan = spread(hollow, name)
+		if f.Judged = judged(name, f.Real, f.Hollow); f.Judged {
+			f.Deviation = (f.Hollow - f.Real) / f.Real
+			row.Used = row.Used && math.Abs(f.Deviation) <= a.Goal
+		} else if f.Real == 0 && f.Hollow == 0 && !strings.HasSuffix(name, "%") {
+			continue
+		}
+		row.Figures = append(row.Figures, f)
+	}
+	a.Rows = append(a.Rows, row)
+}
+
+func spread(plays []map[string]float64, name string) (m float64, span [2]float64) {
+	span = [2]float64{math.Inf(1), math.Inf(-1)}
+	for _, p := range plays {
+		m += p[name] / float64(len(plays))
+		span[0], span[1] = math.Min(span[0], p[name]), math.Max(span[1], p[name])
+	}
+	return m, span
+}
+
+// Table is the agreement for people, a line a figure.
+func (a *Agreement) Table() string {
+	var b strings.Builder
+	for _, r := range a.Rows {
+		fmt.Fprintf(&b, "%d sidecars x %d servers, %v calls/s a sidecar, peers %v, seeds %v: ", r.Sidecars, r.Servers, r.Rate, r.Peers, r.Seeds)
+		if r.Used {
+			fmt.Fprintf(&b, "within %.0f%%", 100*a.Goal)
+		} else {
+			fmt.Fprintf(&b, "BEYOND %.0f%%, not used", 100*a.Goal)
+		}
+		if r.Late > 0 {
+			fmt.Fprintf(&b, "; the lab ran late in %d", r.Late)
+		}
+		b.WriteByte('\n')
+		for _, f := range r.Figures {
+			fmt.Fprintf(&b, "  %-24s real %10.2f (%.2f to %.2f)  hollow %10.2f (%.2f to %.2f)", f.Name, f.Real, f.RealSpan[0], f.RealSpan[1], f.Hollow, f.HollowSpan[0], f.HollowSpan[1])
+			if f.Judged {
+				fmt.Fprintf(&b, "  %+6.1f%%", 100*f.Deviation)
+			}
+			b.WriteByte('\n')
+		}
+	}
+	return b.String()
+}
+
+// agreeRows are the fleets of the agreement: sidecars, servers, calls a second a sidecar, peers.
+var agreeRows = []struct {
+	sidecars, servers int
+	rate              float64
+	peers             bool
+}{
+	{10, 6, 0.1, false}, {10, 60, 0.1, false}, {10, 240, 0.1, false}, // at rest
+	{10, 6, 5, false}, {10, 60, 5, false}, {10, 240, 5, false},
+	{50, 6, 5, false}, {50, 60, 5, false}, {50, 240, 5, false},
+	{10, 60, 5, true},
+}
+
+// Agree plays all rows both ways, the real ones one after the other.
+func Agree(ctx context.Context, program, sidecar string, seeds []uint64, folder string, say func(string)) (*Agreement, error) {
+	a := &Agreement{Goal: 0.15}
+	for _, row := range agreeRows {
+		var reals, hollow []map[string]float64
+		var spec Spec
+		late := 0
+		for _, seed := range seeds {
+			spec = AgreeSpec(row.sidecars, row.servers, row.rate, row.peers, seed)
+			result, err := real(ctx, spec, sidecar, folder)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", spec.Name, err)
+			}
+			if result.Lateness.Late {
+				late++
+			}
+			r := realFigures(spec, result)
+			h, err := RunRung(ctx, program, Order{spec, Measured}, filepath.Join(folder, spec.Name+".json"))
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", spec.Name, err)
+			}
+			if len(h.Broken) > 0 {
+				return nil, fmt.Errorf("%s: %v", spec.Name, h.Broken)
+			}
+			reals, hollow = append(reals, r), append(hollow, h.figures(heads))
+			say(fmt.Sprintf("%s: real %v", spec.Name, r))
+		}
+		a.row(spec, seeds, late, reals, hollow)
+	}
+	return a, nil
+}
+
+// Measured are the costs that hollow sidecars leave out, and heads the payload in them.
+var (
+	Measured = Costs{Probe: 700, Conn: 500, DeadDial: 120, List: 400, ListByte: 1.03, Datagram: 28, Source: "not measured yet"}
+	heads    = HeadBytes{Probe: 250, Attempt: 300, List: 250}
+)
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -173,6 +173,7 @@
 			end()
 			return fmt.Errorf("sidecar %d: %w", i, err)
 		}
+		hollow.Meter()
 		p := &process{hollow: hollow, service: service, end: end}
 		m.procs = append(m.procs, p)
 		f.running.Add(2)
@@ -200,6 +201,9 @@
 	if rate == 0 {
 		return
 	}
+	if early := f.spec.LoadFrom.Duration - time.Since(f.began); early > 0 && !wait(ctx, early) {
+		return
+	}
 	for !p.hollow.Listed() {
 		if !wait(ctx, 100*time.Millisecond) {
 			return
--- a/internal/lab/scale/play.go
+++ b/internal/lab/scale/play.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"peatpost/internal/sidecar"
 )
 
 // Events' own figures.
@@ -51,6 +53,9 @@
 	f.until(spec.Warm.Duration)
 	r.Phases = append(r.Phases, f.phase("steady", spec.Warm.Duration+spec.For.Duration))
 	r.HeapKB = (heapMB() - before) * 1024 / float64(spec.Sidecars)
+	if err := f.effort(r); err != nil {
+		r.Broken = append(r.Broken, err.Error())
+	}
 	ready := make([]bool, spec.Servers)
 	for j := range ready {
 		ready[j] = true
@@ -70,6 +75,28 @@
 	return r, nil
 }
 
+// effort asks all sidecars what the module's events took.
+func (f *fleet) effort(r *Result) error {
+	r.Module = map[string]Effort{}
+	var elapsed [len(sidecar.EffortNames)]time.Duration
+	for _, m := range f.sidecars {
+		for _, p := range m.procs {
+			e, err := p.hollow.Effort()
+			if err != nil {
+				return fmt.Errorf("sidecar %d: %w", m.number, err)
+			}
+			for k, name := range sidecar.EffortNames {
+				elapsed[k] += e.Elapsed[k]
+				all := r.Module[name]
+				all.Events += e.Events[k]
+				all.Micros = float64(elapsed[k].Nanoseconds()) / 1e3 / float64(max(1, all.Events))
+				r.Module[name] = all
+			}
+		}
+	}
+	return nil
+}
+
 // close ends all and waits for it.
 func (f *fleet) close() {
 	for i := range f.sidecars {
--- /dev/null
+++ b/internal/lab/scale/report.go
@@ -0,0 +1,110 @@
+package scale
+
+import (
+	"fmt"
+	"image/color"
+	"math"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// BudgetBytes is what a sidecar may spend on control, in bytes a second.
+const BudgetBytes = 3000
+
+// Table is the ladder for people: a line a phase.
+func (l *Ladder) Table() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %.0f s\nB/s of control on the wire a sidecar, sent and borne; mean/p99 of 10 s windows\n", l.Command, l.Seconds)
+	fmt.Fprintf(&b, "%-22s %-9s %5s | %15s %15s %15s | %13s %13s | %12s | %8s %s\n", "rung", "phase", "s", "all B/s", "probe B/s", "discovery B/s",
+		"probes/s", "borne by a srv", "agents B/s", "settled", "calls")
+	rate := func(r Rate) string { return fmt.Sprintf("%.0f/%.0f", r.Mean, r.P99) }
+	fine := func(r Rate) string { return fmt.Sprintf("%.2f/%.1f", r.Mean, r.P99) }
+	for _, r := range l.Rungs {
+		for _, p := range r.Phases {
+			settled := ""
+			if p.Settled != 0 {
+				settled = fmt.Sprintf("%.1f s", p.Settled)
+			}
+			fmt.Fprintf(&b, "%-22s %-9s %5.0f | %15s %15s %15s | %13s %13s | %12.0f | %8s %v\n", r.Spec.Name, p.Name, p.To-p.From, rate(p.Bytes["all"]), rate(p.Bytes["probe"]),
+				rate(p.Bytes["discovery"]), fine(p.Sidecar["probes"]), fine(p.Server["probes"]), p.Agent["list_bytes"], settled, p.Outcomes)
+		}
+	}
+	for _, n := range l.NotRun {
+		fmt.Fprintf(&b, "not run: %s\n", n)
+	}
+	return b.String()
+}
+
+// Plot draws the control bytes a second of a sidecar over the fleet's size, the budget as a line, as a PNG file.
+func (l *Ladder) Plot(path string) error {
+	p := plot.New()
+	p.Title.Text = "control of one sidecar: bytes a second, sent and borne"
+	p.X.Label.Text = "pin servers and sidecars (log)"
+	p.Y.Label.Text = "bytes/s (log), p99 of 10 s windows"
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	sizes := plot.ConstantTicks{}
+	for _, r := range l.Rungs {
+		sizes = append(sizes, plot.Tick{Value: float64(r.Spec.Servers), Label: fmt.Sprint(r.Spec.Servers)})
+	}
+	var rates plot.ConstantTicks
+	for decade := 100.0; decade <= 1e6; decade *= 10 {
+		for _, x := range []float64{1, 2, 5} {
+			rates = append(rates, plot.Tick{Value: x * decade, Label: fmt.Sprintf("%.0f", x*decade)})
+		}
+	}
+	p.X.Tick.Marker, p.Y.Tick.Marker = sizes, rates
+	p.Add(plotter.NewGrid())
+	least, most := math.Inf(1), 0.0
+	for _, line := range []struct {
+		label, rung, phase string
+		scope              int
+		c                  color.Color
+	}{
+		{"all listed, first 10 s (start)", "rest", "start", 0, color.RGBA{R: 200, A: 255}},
+		{"all listed, at rest", "rest", "steady", 0, color.RGBA{B: 200, A: 255}},
+		{"all listed, 47 calls/s", "load", "steady", 0, color.RGBA{G: 140, B: 200, A: 255}},
+		{"all listed, 47 calls/s, probes at 0.0014", "probing", "steady", 0, color.RGBA{R: 220, G: 60, B: 160, A: 255}},
+		{"6 listed, 47 calls/s, probes at 0.0014", "probing", "steady", 1, color.RGBA{R: 240, G: 160, B: 200, A: 255}},
+		{"all listed, ten changes in a minute", "rest", "changes", 0, color.RGBA{R: 200, G: 120, A: 255}},
+		{"6 listed, at rest", "rest", "steady", 1, color.RGBA{G: 140, A: 255}},
+		{"5 processes of 6 listed, at rest", "rest", "steady", 5, color.RGBA{R: 90, G: 90, B: 90, A: 255}},
+		{"with news to all, at rest", "news", "steady", 0, color.RGBA{R: 160, B: 160, A: 255}},
+		{"with the view, at rest", "view", "steady", 0, color.RGBA{R: 120, G: 60, A: 255}},
+	} {
+		var points plotter.XYs
+		for i := range l.Rungs {
+			r := &l.Rungs[i]
+			phase := r.Phase(line.phase)
+			if kind, _, _ := strings.Cut(r.Spec.Name, "-"); kind != line.rung || r.Spec.Scope != line.scope || phase == nil || phase.Bytes["all"].P99 <= 0 {
+				continue
+			}
+			points = append(points, plotter.XY{X: float64(r.Spec.Servers), Y: phase.Bytes["all"].P99})
+			least, most = math.Min(least, float64(r.Spec.Servers)), math.Max(most, float64(r.Spec.Servers))
+		}
+		if len(points) == 0 {
+			continue
+		}
+		drawn, marks, err := plotter.NewLinePoints(points)
+		if err != nil {
+			return err
+		}
+		drawn.Color, marks.Color = line.c, line.c
+		p.Add(drawn, marks)
+		p.Legend.Add(line.label, drawn, marks)
+	}
+	if most == 0 {
+		return nil // nothing was played that is drawn
+	}
+	budget, err := plotter.NewLine(plotter.XYs{{X: least, Y: BudgetBytes}, {X: math.Max(most, least*1.01), Y: BudgetBytes}})
+	if err != nil {
+		return err
+	}
+	budget.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+	p.Add(budget)
+	p.Legend.Add("budget, 3 KB/s", budget)
+	p.Legend.Top, p.Legend.Left = true, true
+	return p.Save(24*vg.Centimeter, 16*vg.Centimeter, path)
+}
--- a/internal/lab/scale/result.go
+++ b/internal/lab/scale/result.go
@@ -51,10 +51,19 @@
 	Broken []string         `json:"broken"` // checks that did not hold
 	// HeapKB is the heap and stacks of one sidecar, with its part of what the hollow keeps for it.
 	HeapKB float64 `json:"heap_kb"`
-	CPU    float64 `json:"cpu_s"`
-	Wall   float64 `json:"wall_s"`
-	PeakMB float64 `json:"peak_mb"`
-	Costs  Costs   `json:"costs"`
+	// Module is the processor time of the module's events up to the end of the steady phase, the hollow's own: no
+	// socket, no HTTP and none of the loop's around it.
+	Module map[string]Effort `json:"module"`
+	CPU    float64           `json:"cpu_s"`
+	Wall   float64           `json:"wall_s"`
+	PeakMB float64           `json:"peak_mb"`
+	Costs  Costs             `json:"costs"`
+}
+
+// Effort is the module's on events of one kind.
+type Effort struct {
+	Events int64   `json:"events"`
+	Micros float64 `json:"us_each"`
 }
 
 // Phase finds a phase by its name; nil for none.
--- a/internal/lab/scale/spec.go
+++ b/internal/lab/scale/spec.go
@@ -29,12 +29,13 @@
 	// Scope is the services that a sidecar lists, in a process each, of ServiceSize servers; 0 for one process that
 	// lists all servers.
 	Scope    int          `json:"scope"`
-	Zones    int          `json:"zones"`   // machines are dealt to them in turn
-	Regions  int          `json:"regions"` // zones are dealt to them in blocks
-	Near     lab.Duration `json:"near"`    // one way, within a zone
-	Far      lab.Duration `json:"far"`     // between zones of a region
-	Distant  lab.Duration `json:"distant"` // between regions
-	Rate     float64      `json:"rate"`    // calls a second of a sidecar, over its processes
+	Zones    int          `json:"zones"`     // machines are dealt to them in turn
+	Regions  int          `json:"regions"`   // zones are dealt to them in blocks
+	Near     lab.Duration `json:"near"`      // one way, within a zone
+	Far      lab.Duration `json:"far"`       // between zones of a region
+	Distant  lab.Duration `json:"distant"`   // between regions
+	Rate     float64      `json:"rate"`      // calls a second of a sidecar, over its processes
+	LoadFrom lab.Duration `json:"load_from"` // when calls begin
 	Deadline lab.Duration `json:"deadline"`
 	// ProbePrice is the settings' prices.probe, in requests' worth; 0 for 1.
 	ProbePrice float64      `json:"probe_price,omitempty"`
@@ -73,6 +74,7 @@
 		{s.Regions < 1 || s.Regions > s.Zones, "regions", fmt.Sprintf("%d is not within 1 to zones", s.Regions)},
 		{s.Rate < 0 || s.Rate > 1000, "rate", fmt.Sprintf("%v is not within 0 to 1000", s.Rate)},
 		{!(s.ProbePrice >= 0 && s.ProbePrice <= 1000), "probe_price", fmt.Sprintf("%v is not within 0 to 1000", s.ProbePrice)},
+		{s.LoadFrom.Duration < 0 || s.LoadFrom.Duration > s.Warm.Duration, "load_from", "is not within 0 and warm"},
 		{s.Deadline.Duration < 50*time.Millisecond, "deadline", "is under 50ms"},
 		{s.Server.Capacity < 1 || s.Server.Latency.Duration <= 0, "server", "has no capacity or no latency"},
 		{s.Start.Duration <= 0, "start", "is not positive"},
@@ -141,3 +143,9 @@
 
 // ErrToolchain says that the program was built without a virtual clock.
 var ErrToolchain = errors.New("hollow sidecars need a program built by Go 1.25 or later, for its virtual clock (testing/synctest)")
+
+// Order is what a process that plays one rung is told.
+type Order struct {
+	Spec  Spec  `json:"spec"`
+	Costs Costs `json:"costs"`
+}
--- a/internal/sidecar/hollow.go
+++ b/internal/sidecar/hollow.go
@@ -7,8 +7,11 @@
 	"net"
 	"net/http"
 	"net/url"
+	"runtime"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"peatpost/balancer"
 	"peatpost/internal/fleet"
 	"peatpost/internal/fleet/link"
@@ -200,3 +203,83 @@
 
 // Listed says whether the sidecar serves: its list is not empty.
 func (h *Hollow) Listed() bool { return h.l.listed.Load() }
+
+// Effort is processor time of the module by the event that it handled, of the thread that did: no other process's, and
+// none of the loop's around it.
+type Effort struct {
+	Events  [effortKinds]int64
+	Elapsed [effortKinds]time.Duration
+}
+
+const (
+	EffortRequest = iota
+	EffortOutcome
+	EffortTimer
+	EffortProbed
+	EffortMembers
+	EffortTold
+	effortKinds
+)
+
+// EffortNames are the kinds of event, in Effort's order.
+var EffortNames = [effortKinds]string{"request", "outcome", "timer", "probed", "members", "told"}
+
+// metered is a balancer whose events are timed. The loop's goroutine alone calls it.
+type metered struct {
+	decider
+	Effort
+}
+
+func (m *metered) timed(kind int, do func()) {
+	runtime.LockOSThread()
+	from := threadTime()
+	do()
+	m.Elapsed[kind] += threadTime() - from
+	m.Events[kind]++
+	runtime.UnlockOSThread()
+}
+
+func threadTime() time.Duration {
+	var ts unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &ts) != nil {
+		return 0
+	}
+	return time.Duration(ts.Nano())
+}
+
+func (m *metered) Request(now balancer.Micros, in balancer.Request) {
+	m.timed(EffortRequest, func() { m.decider.Request(now, in) })
+}
+
+func (m *metered) Outcome(now balancer.Micros, o balancer.Outcome) {
+	m.timed(EffortOutcome, func() { m.decider.Outcome(now, o) })
+}
+
+func (m *metered) Timer(now balancer.Micros, token uint32) {
+	m.timed(EffortTimer, func() { m.decider.Timer(now, token) })
+}
+
+func (m *metered) Probed(now balancer.Micros, endpoint uint32, status balancer.Status, latency balancer.Micros, load []float32) {
+	m.timed(EffortProbed, func() { m.decider.Probed(now, endpoint, status, latency, load) })
+}
+
+func (m *metered) Members(now balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint) {
+	m.timed(EffortMembers, func() { m.decider.Members(now, kind, entries) })
+}
+
+func (m *metered) Told(now balancer.Micros, data []byte) {
+	m.timed(EffortTold, func() { m.decider.Told(now, data) })
+}
+
+// Effort tells what the module's events took, where Meter was called before Run.
+func (h *Hollow) Effort() (e Effort, err error) {
+	err = h.l.urge(func(balancer.Micros) {
+		if m, ok := h.l.balancer.(*metered); ok {
+			e = m.Effort
+		}
+	})
+	return e, err
+}
+
+// Meter has the module's events timed from here on.
+func (h *Hollow) Meter() { h.l.balancer = &metered{decider: h.l.balancer} }
