Test what all balancers together send to a cold endpoint, with 5 and 30 of them

Change: a test alone. The module, 5 or 30 of it on one simulated clock, ten endpoints of two cores that are slower while cold; one joins, one starts anew, and a burst of 1.5 times the capacity comes 0.1, 1 or 3 s later out of 0.05 or 0.4 of it; 3 seeds, two settings (N from 4 and from 30).

--- /dev/null
+++ b/balancer/cold_fleet_test.go
@@ -0,0 +1,235 @@
+package balancer
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// coldFleet is many balancers and their endpoints on a simulated clock. Each endpoint works at a few requests
+// side by side, in order, slower while it is cold; requests come at random, and to any balancer alike.
+type coldFleet struct {
+	t      *testing.T
+	s      Settings
+	now    Micros
+	events eventHeap
+	random *rand.Rand
+	all    []*coldBalancer
+	ends   map[uint32]*coldEndpoint
+	lastID uint64
+	served int
+}
+
+const (
+	coldWork  = 80_000 // of a request on one core of a warm endpoint
+	coldCores = 2
+	coldWay   = 300 // to an endpoint, and back again
+)
+
+type coldEndpoint struct {
+	started  Micros // of its warm-up; 0 for long ago
+	free     [coldCores]Micros
+	held     int
+	arrivals []Micros
+}
+
+type simEvent struct {
+	at Micros
+	n  int // those of one instant come in order
+	do func()
+}
+
+type eventHeap []simEvent
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].n < h[j].n
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+func (f *coldFleet) in(delay Micros, do func()) {
+	f.lastID++
+	heap.Push(&f.events, simEvent{f.now + delay, int(f.lastID), do})
+}
+
+func (f *coldFleet) run(until Micros) {
+	for len(f.events) > 0 && f.events[0].at <= until {
+		e := heap.Pop(&f.events).(simEvent)
+		f.now = e.at
+		e.do()
+	}
+	f.now = until
+}
+
+// warmth is what an endpoint's capacity is of a warm one's.
+func (f *coldFleet) warmth(e *coldEndpoint, at Micros) float64 {
+	c := &f.s.Contract
+	if e.started == 0 || at-e.started >= c.RampTime {
+		return 1
+	}
+	return c.ColdFrom + (1-c.ColdFrom)*float64(at-e.started)/float64(c.RampTime)
+}
+
+// coldBalancer is one of the balancers, and carries out its actions.
+type coldBalancer struct {
+	f *coldFleet
+	b *Balancer
+}
+
+func (c *coldBalancer) Send(id uint64, endpoint uint32, _ Micros) {
+	f, e := c.f, c.f.ends[endpoint]
+	sent, attempt := f.now, len(c.b.requests[id].attempts)-1
+	f.in(coldWay, func() {
+		e.arrivals = append(e.arrivals, f.now)
+		e.held++
+		core := 0
+		for i := range e.free {
+			if e.free[i] < e.free[core] {
+				core = i
+			}
+		}
+		start := max(f.now, e.free[core])
+		work := coldWork * (0.5 + f.random.ExpFloat64()/2)
+		e.free[core] = start + Micros(work/f.warmth(e, start))
+		f.in(e.free[core]-f.now, func() {
+			e.held--
+			f.in(coldWay, func() {
+				f.served++
+				c.b.Outcome(f.now, Outcome{ID: id, Attempt: attempt, Endpoint: endpoint, Status: OK, Latency: f.now - sent, Settled: true})
+			})
+		})
+	})
+}
+
+func (c *coldBalancer) Probe(endpoint uint32) {
+	f, e := c.f, c.f.ends[endpoint]
+	f.in(coldWay, func() {
+		load := []float32{float32(e.held)}
+		f.in(coldWay, func() { c.b.Probed(f.now, endpoint, OK, 2*coldWay, load) })
+	})
+}
+
+func (c *coldBalancer) Timer(delay Micros, token uint32) {
+	c.f.in(delay, func() { c.b.Timer(c.f.now, token) })
+}
+func (c *coldBalancer) Refuse(uint64, Micros) {}
+func (c *coldBalancer) Fail(uint64)           {}
+func (c *coldBalancer) Cancel(uint64, int)    {}
+func (c *coldBalancer) Tell([]byte)           {}
+func (c *coldBalancer) Watch(bool)            {}
+func (c *coldBalancer) Log(string)            {}
+
+// playCold has an endpoint join beside nine warm ones, another start anew a second later, and a burst of requests come
+// some time after: it returns the most that came to either of them within the time that the settings name, as a share
+// of what is let pass.
+func playCold(t *testing.T, s Settings, balancers int, believed Settings, seed uint64, quiet float64, after Micros) (most float64, served int) {
+	t.Helper()
+	const joins, burst, lasts = 5 * second, 1.5, 3 * second
+	f := &coldFleet{t: t, s: s, random: rand.New(rand.NewPCG(seed, 0xc01d)), ends: map[uint32]*coldEndpoint{}}
+	list := ready(9)
+	for _, e := range list {
+		f.ends[e.ID] = &coldEndpoint{}
+	}
+	for i := range balancers {
+		c := &coldBalancer{f: f}
+		var err error
+		if c.b, err = New(believed, seed*1000+uint64(i), c); err != nil {
+			t.Fatal(err)
+		}
+		f.all = append(f.all, c)
+		c.b.Start(0)
+		c.b.Members(0, ListFull, list)
+	}
+	capacity := 9 * coldCores * float64(second) / coldWork // requests a second
+	var come func()
+	id := uint64(0)
+	come = func() {
+		rate := quiet * capacity
+		if f.now >= joins+after && f.now < joins+after+lasts {
+			rate = burst * capacity
+		}
+		c := f.all[f.random.IntN(balancers)]
+		id++
+		c.b.Request(f.now, Request{ID: id, Deadline: f.now + second})
+		f.in(1+Micros(f.random.ExpFloat64()*float64(second)/rate), come)
+	}
+	f.in(1, come)
+	for _, cold := range []struct {
+		id uint32
+		at Micros
+	}{{10, joins}, {4, joins + second}} {
+		f.in(cold.at, func() {
+			f.ends[cold.id] = &coldEndpoint{started: f.now}
+			for _, c := range f.all {
+				c.b.Members(f.now, ListDelta, []Endpoint{{ID: cold.id, Zone: uint8(cold.id / 2), Share: 1, StartTime: f.now}})
+			}
+		})
+	}
+	f.run(joins + second + after + lasts)
+	for _, id := range []uint32{10, 4} {
+		e := f.ends[id]
+		for from, to := 0, 0; from < len(e.arrivals); from++ {
+			for to < len(e.arrivals) && e.arrivals[to] < e.arrivals[from]+s.Contract.OverloadFor {
+				to++
+			}
+			n := s.Contract.FallMultiple * f.warmth(e, e.arrivals[from]) * coldCores * float64(s.Contract.OverloadFor) / coldWork
+			most = max(most, float64(to-from)/(n+2*math.Sqrt(n)+2))
+		}
+	}
+	return most, f.served
+}
+
+// sumMost is the part of what is let pass that the balancers may come to: some is kept for networks less even.
+const sumMost = 0.6
+
+// What is sent to a cold endpoint by all balancers together stays within its budget of N requests and chance, 2 x root
+// of N + 2, with few balancers and many, in a burst out of little traffic or much at any time after its start.
+func TestColdEndpointBearsTheSumOfAllBalancers(t *testing.T) {
+	small, usual := testSettings(), testSettings()
+	small.Contract.FallMultiple, small.Contract.ColdFrom = 1.5, 0.1
+	usual.Contract.FallMultiple, usual.Contract.OverloadFor, usual.Contract.RampTime = 4, 1_500_000, 15*second
+	for name, s := range map[string]Settings{"N from 4": small, "N from 30": usual} {
+		s.Classes = []Class{{Name: "read", Repeat: Safe, Aim: 400_000, GiveUp: second, Worth: 1}}
+		for _, balancers := range []int{5, 30} {
+			t.Run(fmt.Sprintf("%s, %d balancers", name, balancers), func(t *testing.T) {
+				t.Parallel()
+				worst, careless, selfish := 0.0, 0.0, 0.0
+				s.Balancers = balancers
+				reckless, alone := s, s
+				alone.Balancers = 1
+				reckless.Contract.RampTime = 0 // told to these balancers: nothing is cold
+				for seed := range uint64(3) {
+					for _, quiet := range []float64{0.05, 0.4} {
+						for _, after := range []Micros{100_000, second, 3 * second} {
+							most, served := playCold(t, s, balancers, s, seed+1, quiet, after)
+							if served < 500 {
+								t.Fatalf("only %d requests were served", served)
+							}
+							if worst = max(worst, most); most > sumMost {
+								t.Errorf("seed %d, from %.2f to 1.5 of capacity after %.1f s: %.2f of what is let pass",
+									seed+1, quiet, float64(after)/float64(second), most)
+							}
+						}
+					}
+					most, _ := playCold(t, s, balancers, reckless, seed+1, 0.05, second)
+					careless = max(careless, most)
+					most, _ = playCold(t, s, balancers, alone, seed+1, 0.4, second)
+					selfish = max(selfish, most)
+				}
+				t.Logf("at most %.2f of what is let pass; %.2f by balancers that know of no cold, %.2f by such as believe to be alone", worst, careless, selfish)
+				if s.Contract == small.Contract && (careless <= sumMost || balancers == 30 && selfish <= sumMost) {
+					t.Errorf("the check does not see balancers that know of no cold, or of each other: %.2f, %.2f", careless, selfish)
+				}
+			})
+		}
+	}
+}
