Test a burst of 300 clients that leave while their first attempts are out

Need: a client that closes has gone, and no attempt, first or further, may begin more than 0.1 s later; the tests had 20 clients at a time, and none whose attempt comes back as never run after the close.

Change: a test alone. 300 of 320 clients leave at once, by a close or a reset, with cancelling allowed or not; then each attempt out is turned away unseen. None of the 300 goes on to another server, the 20 who stayed all do. A departure has to be noticed within 0.1 s and four times what the machine's own timers are late.

--- /dev/null
+++ b/internal/sidecar/departure_burst_test.go
@@ -0,0 +1,154 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// departedMost is how long after a client's close an attempt may still begin.
+const departedMost = 100 * time.Millisecond
+
+// lateness tells by how much, at most, the machine let a timer of 5 ms run over until stop is closed.
+func lateness(stop <-chan struct{}) <-chan time.Duration {
+	told := make(chan time.Duration, 1)
+	go func() {
+		const gap = 5 * time.Millisecond
+		var most time.Duration
+		for {
+			start := time.Now()
+			select {
+			case <-stop:
+				told <- most
+				return
+			case <-time.After(gap):
+				most = max(most, time.Since(start)-gap)
+			}
+		}
+	}()
+	return told
+}
+
+// Hundreds of clients leave at once, each with a first attempt out that then turns out never to have run: nothing goes
+// on to another server for them, while those who stayed are tried again. Each departure is noticed in time, but for what
+// the machine itself is late.
+func TestBurstOfDeparturesIsNotTriedAgain(t *testing.T) {
+	const leaving, staying = 300, 20
+	for _, cancel := range []bool{true, false} {
+		for _, reset := range []bool{true, false} {
+			t.Run(fmt.Sprintf("cancel %v, reset %v", cancel, reset), func(t *testing.T) {
+				t.Parallel()
+				name := fmt.Sprint("burst-", cancel, reset, "-")
+				var mu sync.Mutex
+				came := map[string]int{} // attempts by request
+				turnAway := make(chan struct{})
+				e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+					for {
+						r, err := http.ReadRequest(in)
+						if err != nil {
+							return
+						}
+						id := r.Header.Get("X-Correlation-Id")
+						mu.Lock()
+						came[id]++
+						first := came[id] == 1
+						mu.Unlock()
+						if first {
+							<-turnAway
+							io.WriteString(conn, full)
+						} else {
+							io.WriteString(conn, served)
+						}
+					}
+				})
+				var hosts []host // so many that none is too busy for a request
+				for i := range leaving + staying {
+					hosts = append(hosts, ready(fmt.Sprint("s-", i), e.address))
+				}
+				w := &world{t: t, dir: newDirectory(t, hosts...)}
+				noticed := newDepartures()
+				w.log = noticed
+				cfg := configure(t, w.dir.address, func(s map[string]any) {
+					s["limits"].(map[string]any)["cancel"] = cancel
+					read := s["classes"].([]any)[0].(map[string]any)
+					read["target"], read["give-up"] = time.Minute.Microseconds(), time.Minute.Microseconds() // however busy the machine
+				}, hosts...)
+				cfg.Limits.Sockets = 2048
+				w.launch(cfg)
+				w.until("the list", func() bool { return w.loop.listed.Load() })
+				var conns []net.Conn
+				for i := range leaving + staying {
+					conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer conn.Close()
+					conns = append(conns, conn)
+					r := w.request("read", "", time.Minute)
+					r.Header.Set("X-Correlation-Id", fmt.Sprint(name, i))
+					r.Write(conn)
+				}
+				w.until("all first attempts", func() bool { mu.Lock(); defer mu.Unlock(); return len(came) == leaving+staying })
+				stop := make(chan struct{})
+				late := lateness(stop)
+				left := make([]time.Time, leaving)
+				for i := range leaving {
+					left[i] = time.Now()
+					leave(conns[i], reset)
+				}
+				w.until("all departures to be noticed", func() bool { return noticed.count() >= leaving })
+				close(stop)
+				slack := <-late
+				close(turnAway)
+				for _, conn := range conns[leaving:] { // who stayed is served by another
+					conn.SetReadDeadline(time.Now().Add(patience))
+					answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+					if err != nil || answer.StatusCode != http.StatusOK {
+						t.Fatalf("who stayed got %v, %v", answer, err)
+					}
+				}
+				w.until("the ledger to be empty", func() bool {
+					n := 0
+					w.do(func() { n = len(w.loop.requests) })
+					return n == 0
+				})
+				again, stayed := 0, 0
+				mu.Lock()
+				for i := range leaving + staying {
+					switch n := came[fmt.Sprint(name, i)]; {
+					case i < leaving && n > 1:
+						again++
+					case i >= leaving && n == 2:
+						stayed++
+					}
+				}
+				mu.Unlock()
+				var delays []time.Duration
+				noticed.mu.Lock()
+				for i, at := range left {
+					delays = append(delays, noticed.noticed[fmt.Sprint(name, i)].Sub(at))
+				}
+				noticed.mu.Unlock()
+				slices.Sort(delays)
+				p := func(q float64) time.Duration {
+					return delays[int(q*float64(len(delays)-1))].Round(100 * time.Microsecond)
+				}
+				t.Logf("%d left: noticed after p50 %v, p99 %v, max %v (timers late by up to %v); tried again %d; of %d who stayed %d",
+					leaving, p(0.5), p(0.99), p(1), slack.Round(100*time.Microsecond), again, staying, stayed)
+				if again > 0 || stayed != staying {
+					t.Errorf("%d who had left were tried again, and %d of %d who stayed", again, stayed, staying)
+				}
+				if p(1) > departedMost+4*slack || p(0) < 0 {
+					t.Errorf("a departure was noticed after %v, and timers were late by %v at most", p(1), slack)
+				}
+			})
+		}
+	}
+}
