Give each part of the cold fleet's test settings of its own

Cause: the parts for 5 and 30 balancers wrote to the same settings and ran side by side, so that either could play with the other's number: a data race that -race told (3 of 6 runs failed, also 0.72 of what is let pass where 0.6 is held).

Change: a copy for each.

--- a/balancer/cold_fleet_test.go
+++ b/balancer/cold_fleet_test.go
@@ -203,6 +203,7 @@
 			t.Run(fmt.Sprintf("%s, %d balancers", name, balancers), func(t *testing.T) {
 				t.Parallel()
 				worst, careless, selfish := 0.0, 0.0, 0.0
+				s := s // the others run beside this one
 				s.Balancers = balancers
 				reckless, alone := s, s
 				alone.Balancers = 1
