Ask the system whether the client has left in the moment an attempt begins

Cause found by reading: a departure is known once the reader of its connection has run, or the look each 20 ms where nobody reads. An attempt begins in a goroutine of its own, and where thousands of connections come at once and the sidecar has a fifth of a core, it may run before that reader. p.begin asked only what had been noticed.

Change: begin asks the connection itself (a poll without waiting, one call of the system an attempt) before the first byte.

TestNothingIsSentOnThoughNobodyHasReadTheEnd: the readers held, 20 clients leave amid their dials, the dials come up: 0 of 20 sent on, without the change 20 of 20, for closes and resets.

--- /dev/null
+++ b/internal/sidecar/departure_unread_test.go
@@ -0,0 +1,92 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Clients leave while their attempts are dialled, and nobody has read their connections' ends when the dials come up, as
+// on a machine where the readers wait for their turn: nothing is sent on for them all the same.
+func TestNothingIsSentOnThoughNobodyHasReadTheEnd(t *testing.T) {
+	const clients = 20
+	for _, reset := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reset %v", reset), func(t *testing.T) {
+			t.Parallel()
+			name := fmt.Sprint("unread-", reset, "-")
+			var sent atomic.Int64
+			e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					if strings.HasPrefix(r.Header.Get("X-Correlation-Id"), name) {
+						sent.Add(1)
+					}
+					io.WriteString(conn, served)
+				}
+			})
+			var hosts []host
+			for i := range clients {
+				hosts = append(hosts, ready(fmt.Sprint("s-", i), e.address))
+			}
+			w := &world{t: t, dir: newDirectory(t, hosts...)}
+			cfg := configure(t, w.dir.address, func(map[string]any) {}, hosts...)
+			w.launch(cfg)
+			w.until("the list", func() bool { return w.loop.listed.Load() })
+			hold := make(chan struct{})
+			letGo := sync.OnceFunc(func() { close(hold) })
+			defer letGo()
+			var dials atomic.Int64
+			w.loop.up.dialer.Control = func(string, string, syscall.RawConn) error {
+				dials.Add(1)
+				<-hold
+				return nil
+			}
+			var conns []net.Conn
+			for i := range clients {
+				conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				conns = append(conns, conn)
+				r := w.request("pay", "", time.Minute)
+				r.Header.Set("X-Correlation-Id", fmt.Sprint(name, i))
+				r.Write(conn)
+			}
+			w.until("all requests to wait", func() bool { return awaited(w.server.clients) >= clients && dials.Load() >= clients })
+			all := w.server.clients.where(func(*client) bool { return true })
+			for _, conn := range all {
+				conn.mu.Lock() // its reader gets no further
+			}
+			free := sync.OnceFunc(func() {
+				for _, conn := range all {
+					conn.mu.Unlock()
+				}
+			})
+			defer free()
+			for _, conn := range conns {
+				leave(conn, reset)
+			}
+			letGo()
+			w.until("the ledger to be empty", func() bool {
+				n := 0
+				w.do(func() { n = len(w.loop.requests) })
+				return n == 0 && len(w.loop.events) == 0
+			})
+			if n := sent.Load(); n > 0 {
+				t.Errorf("%d of %d requests were sent on", n, clients)
+			}
+		})
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -106,6 +106,7 @@
 	left     balancer.Micros // from the last byte of a body that still comes to the deadline
 	answer   chan answer     // takes the one final answer
 	client   context.Context // ends when the client leaves, which the loop may be told late
+	look     func()          // asks the system whether it has left; nil where there is no connection to ask
 	over     bool            // the final answer is out, or the client is gone
 	attempts []context.CancelFunc
 	out      int // attempts without outcome
@@ -432,7 +433,12 @@
 	}
 	guard()
 	p := &passage{life: life,
-		begin: func() bool { return unguard() && !r.departed() },
+		begin: func() bool {
+			if r.look != nil {
+				r.look() // whoever reads the connection may be far behind, where many come at once
+			}
+			return unguard() && !r.departed()
+		},
 		uploaded: func() time.Time {
 			began = l.clock.now()
 			deadline := began + r.left
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -458,7 +458,7 @@
 			panic(http.ErrAbortHandler) // the connection is gone
 		}
 	}
-	r := &request{answer: make(chan answer, 1), message: m, left: req.Deadline - s.loop.clock.now(), client: conn.left}
+	r := &request{answer: make(chan answer, 1), message: m, left: req.Deadline - s.loop.clock.now(), client: conn.left, look: conn.look}
 	defer conn.await(m.rest != nil)()
 	if !s.loop.postFor(conn.left, func(now balancer.Micros) { s.loop.take(now, r, req) }) {
 		s.ended(in, arrived, 0)
