--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -40,8 +40,8 @@
 	MostBytes float64                `json:"wire_bytes_per_s_max"` // the sidecar with the most
 	Kinds     map[string]ControlRate `json:"kinds"`
 	CPU       float64                `json:"cpu_share"` // of a core, of the whole process, serving included
-	// What the kernel counted on the loopback interface meanwhile, all that runs in this network namespace, without Ethernet's
-	// frames, which loopback does not count.
+	// What the kernel counted on the loopback interface meanwhile, of all that used it, without Ethernet's frames,
+	// which loopback does not count.
 	LoopbackBytes   float64 `json:"loopback_bytes_per_s"`
 	LoopbackPackets float64 `json:"loopback_packets_per_s"`
 }
@@ -152,7 +152,7 @@
 	return s
 }
 
-// loopback gives the bytes and packets that the loopback interface of this network namespace has sent.
+// loopback gives the bytes and packets that the loopback interface has sent.
 func loopback() (n [2]uint64) {
 	text, _ := os.ReadFile("/proc/net/dev")
 	for _, line := range strings.Split(string(text), "\n") {
--- a/internal/lab/control_table.go
+++ b/internal/lab/control_table.go
@@ -46,7 +46,7 @@
 
 // MeasureControl plays an experiment without faults for all of these servers, rates and prices, so many at a time. Tell is told
 // of each row. Where one is played at a time the rows say how the reckoned bytes compare with the kernel's count, which
-// is of all that uses this network namespace's loopback interface: it means something in a namespace of its own, without calls.
+// is of all that uses the loopback interface: it means something without calls, while nothing else does.
 func MeasureControl(ctx context.Context, program, folder string, sidecars int, servers []int, rates, prices []float64, duration time.Duration,
 	parallel int, tell func(string)) (*ControlTable, error) {
 	t := &ControlTable{Format: resultFormat, Cores: runtime.NumCPU(), Parallel: parallel, Sidecars: sidecars, Duration: Duration{duration}, Settings: probeSettings}
