--- a/cmd/bramblelab/scale.go
+++ b/cmd/bramblelab/scale.go
@@ -102,7 +102,7 @@
 		specs = slices.DeleteFunc(specs, func(s scale.Spec) bool { return !slices.Contains(kinds, kindOf(s)) })
 	}
 	l, failed := scale.Climb(ctx, program, specs, scale.Measured, o.places, filepath.Join(o.out, "rungs"), say)
-	l.Command = "bramblelab scale " + strings.Join(args, " ")
+	l.Command = fmt.Sprintf("bramblelab scale -rungs %s -only %q -parallel %d", strings.Trim(fmt.Sprint(o.rungs), "[]"), o.only, o.places)
 	fmt.Print(l.Table())
 	return errors.Join(failed, lab.WriteJSON(filepath.Join(o.out, "scale.json"), l), l.Plot(filepath.Join(o.out, "scale.png")))
 }
