--- /dev/null
+++ b/internal/sidecar/client_conn_idle_test.go
@@ -0,0 +1,90 @@
+package sidecar
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bramblestand/internal/endpointtest"
+)
+
+// An idle connection that is found for closing, or for eviction, may carry a request by the time it is closed. Guards against a
+// close under the handler of that request, whose client then gets no response.
+func TestIdleCloseSparesARequestInFlight(t *testing.T) {
+	for name, closeFound := range map[string]func(*clientConn){
+		"idle check": func(conn *clientConn) { conn.closeIdle() },
+		"eviction":   func(conn *clientConn) { conn.evict(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			e := endpointtest.NewServer(t, func(e *endpointtest.Server, conn net.Conn, in *bufio.Reader) {
+				for r := e.ReadRequest(in); r != nil; r = e.ReadRequest(in) {
+					if strings.HasPrefix(r.RequestURI, "/pay") {
+						<-release
+					}
+					io.WriteString(conn, endpointtest.OKResponse)
+				}
+			})
+			w := startSidecar(t, nil, readyEndpoint("s-1", e.Address))
+			w.await("no connection", func() bool { return w.server.clients.count() == 0 })
+			k := w.connect()
+			k.roundTrip()
+			found := w.atRest()
+			w.request("pay", "x", time.Minute).Write(k.conn)
+			w.await("the request at the endpoint", func() bool { n, _ := e.Counts(); return n == 2 })
+			closeFound(found)
+			close(release)
+			response, err := http.ReadResponse(k.in, nil)
+			if err != nil || response.StatusCode != http.StatusOK {
+				t.Errorf("the request in flight: %v, %v; want 200", response, err)
+			}
+		})
+	}
+}
+
+// Requests begin on idle connections while these are closed, as in a drain or a shutdown beside a crowd. Guards against a request
+// that was read and forwarded and gets no response; one that was never read is sent again by its client.
+func TestClosingIdleConnectionsLosesNoReadRequest(t *testing.T) {
+	const connections, rounds = 60, 20
+	e := endpointtest.NewServer(t, endpointtest.Always(endpointtest.OKResponse))
+	w := startSidecar(t, nil, readyEndpoint("s-1", e.Address))
+	w.await("no connection", func() bool { return w.server.clients.count() == 0 })
+	served := 0
+	for range rounds {
+		clients := make([]*clientConnection, connections)
+		for i := range clients {
+			clients[i] = w.connect()
+			clients[i].roundTrip()
+		}
+		served += connections
+		w.await("all to be idle", func() bool { return w.server.clients.counts().idle == connections })
+		var wait sync.WaitGroup
+		var mu sync.Mutex
+		for _, client := range clients {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				w.request("read", "", time.Minute).Write(client.conn)
+				if response, err := http.ReadResponse(client.in, nil); err == nil && response.StatusCode == http.StatusOK {
+					mu.Lock()
+					served++
+					mu.Unlock()
+				}
+				client.conn.Close()
+			}()
+		}
+		for w.server.clients.counts().idle > 0 {
+			w.server.clients.closeIdle(0)
+		}
+		wait.Wait()
+		w.await("all to end", func() bool { return w.server.clients.count() == 0 })
+	}
+	if n, _ := e.Counts(); n != served {
+		t.Errorf("%d requests reached the endpoint, %d got its response", n, served)
+	}
+}
