Evict only connections whose clients are owed no response

Cause: an eviction spared only connections marked as having had a valid request, which the handler does after reading and parsing. A request read and not yet marked, or waiting unread, was dropped; and a fast flood turned the whole queue over between a client's connecting and its first byte.

TestEvictionSparesATakenRequest asserted the fault itself (a request read and not marked had to be evicted): its table, which replaces it, keeps the two checks for what is evicted and adds fourteen states.

--- /dev/null
+++ b/internal/sidecar/client_conn_eviction_test.go
@@ -0,0 +1,289 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramblestand/internal/endpointtest"
+	"bramblestand/internal/socket"
+)
+
+// registeredConn is a connection in a registry that has no place for another one.
+type registeredConn struct {
+	*clientConn
+	t       *testing.T
+	clients *clientConns
+	near    net.Conn // the client's end
+}
+
+func newRegisteredConn(t *testing.T) *registeredConn {
+	t.Helper()
+	near, far := socketPair(t)
+	clients := newClientConns(1)
+	clients.minIdle = 0
+	conn, err := newClientConn(far, clients)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients.connState(conn, http.StateNew)
+	return &registeredConn{conn, t, clients, near}
+}
+
+// send writes as the client, and waits until the bytes have arrived.
+func (c *registeredConn) send(text string) {
+	io.WriteString(c.near, text)
+	await(c.t, "the bytes to arrive", func() bool { return !socket.IsQuiet(c.Conn) })
+}
+
+// receive writes as the client and reads as the server.
+func (c *registeredConn) receive(text string) {
+	c.t.Helper()
+	io.WriteString(c.near, text)
+	if _, err := io.ReadFull(c.clientConn, make([]byte, len(text))); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// serve reads a valid request, and answers it if isAnswered.
+func (c *registeredConn) serve(isAnswered bool) {
+	c.t.Helper()
+	c.receive("GET /a HTTP/1.1\r\n\r\n")
+	c.clients.connState(c.clientConn, http.StateActive)
+	c.takeRequest()
+	if !c.clients.markValidRequest(c.clientConn) {
+		c.t.Fatal("a request of an open connection was not taken")
+	}
+	if isAnswered {
+		c.clients.connState(c.clientConn, http.StateIdle)
+	}
+}
+
+// isEvicted tries to evict the connection until it has been in its class for longer than any is spared for its age, and reports
+// whether that succeeded.
+func (c *registeredConn) isEvicted() bool {
+	for deadline := time.Now().Add(2 * minUnprovenAge); time.Now().Before(deadline); time.Sleep(evictionRetryInterval) {
+		if c.clients.evictOne() == evictedOne {
+			return true
+		}
+	}
+	return false
+}
+
+// A connection is evicted if its client is owed nothing on it. Guards against the eviction of a connection on which a request was
+// read, or waits to be read, which is then lost.
+func TestEvictionSparesATakenRequest(t *testing.T) {
+	const post = "POST /a HTTP/1.1\r\nContent-Length: 4\r\n\r\n"
+	for name, c := range map[string]struct {
+		prepare func(*registeredConn)
+		want    bool // it is evicted
+	}{
+		"silent":                        {func(c *registeredConn) {}, true},
+		"part of a head":                {func(c *registeredConn) { c.receive("GET /a HTTP/1.1\r\n") }, true},
+		"part of a body":                {func(c *registeredConn) { c.receive(post + "abc") }, true},
+		"part of a body, in a handler":  {func(c *registeredConn) { c.receive(post + "abc"); c.takeRequest() }, true},
+		"bytes that were not read":      {func(c *registeredConn) { c.send("GET /a HTTP/1.1\r\n") }, false},
+		"a request that was not read":   {func(c *registeredConn) { c.send("GET /a HTTP/1.1\r\n\r\n") }, false},
+		"the rest that was not read":    {func(c *registeredConn) { c.receive(post + "abc"); c.send("d") }, false},
+		"a request":                     {func(c *registeredConn) { c.receive("GET /a HTTP/1.1\r\n\r\n") }, false},
+		"a request with its body":       {func(c *registeredConn) { c.receive(post + "abcd") }, false},
+		"a request, in a handler":       {func(c *registeredConn) { c.receive(post + "abcd"); c.takeRequest() }, false},
+		"a request and part of another": {func(c *registeredConn) { c.receive(post + "abcdGET") }, false},
+		"a valid request":               {func(c *registeredConn) { c.serve(false) }, false},
+		"answered":                      {func(c *registeredConn) { c.serve(true) }, true},
+		"answered, part of the next":    {func(c *registeredConn) { c.serve(true); c.receive("GE") }, false},
+		"answered, the next not read":   {func(c *registeredConn) { c.serve(true); c.send("GE") }, false},
+		"answered, the next taken": {func(c *registeredConn) {
+			c.serve(true)
+			c.receive("GET /b HTTP/1.1\r\n\r\n")
+			c.takeRequest() // the registry still finds it idle
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			conn := newRegisteredConn(t)
+			c.prepare(conn)
+			if got := conn.isEvicted(); got != c.want {
+				t.Errorf("evicted %v, want %v", got, c.want)
+			}
+			if isKept := conn.clients.count() == 1; isKept == c.want {
+				t.Errorf("the connection is kept: %v", isKept)
+			}
+			if isTaken := conn.clients.markValidRequest(conn.clientConn); isTaken == c.want {
+				t.Errorf("a request is taken: %v", isTaken)
+			}
+		})
+	}
+}
+
+// A body in chunks, whose end the connection does not see, counts as incomplete once nothing of it arrives any more.
+func TestEvictionOfABodyInChunks(t *testing.T) {
+	conn := newRegisteredConn(t)
+	conn.receive("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+	time.Sleep(minUnprovenAge)
+	conn.receive("4\r\nabcd\r\n")
+	if conn.mu.Lock(); !conn.mayHoldRequestLocked() {
+		t.Error("a body that was just read from counts as incomplete")
+	}
+	conn.mu.Unlock()
+	await(t, "the stalled body's connection to be evicted", func() bool { return conn.clients.evictOne() == evictedOne })
+}
+
+// A place that young connections hold is waited for, until one of them may be evicted.
+func TestMakeRoomWaitsForYoungConnections(t *testing.T) {
+	conn := newRegisteredConn(t)
+	start := time.Now()
+	conn.clients.makeRoom()
+	if waited := time.Since(start); conn.clients.count() != 0 || waited < minUnprovenAge/2 {
+		t.Errorf("%d connections are left after %v, want none, and not before %v", conn.clients.count(), waited, minUnprovenAge)
+	}
+}
+
+// flood opens connections until the test ends, maxConns at a time, and has each used by the client.
+func (s *testSidecar) flood(client func(net.Conn)) {
+	var wait sync.WaitGroup
+	stop := make(chan struct{})
+	for range 8 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			var held []net.Conn
+			defer func() {
+				for _, conn := range held {
+					conn.Close()
+				}
+			}()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				conn, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+				if err != nil {
+					continue
+				}
+				conn.SetDeadline(time.Now().Add(testTimeout))
+				client(conn)
+				if held = append(held, conn); len(held) > s.server.clients.maxConns/4 {
+					held[0].Close()
+					held = held[1:]
+				}
+			}
+		}()
+	}
+	s.t.Cleanup(func() {
+		close(stop)
+		wait.Wait()
+	})
+}
+
+// A flood of one kind neither keeps other clients out nor costs them a request, and each valid request of a flood gets a response.
+func TestFloodOfOneKind(t *testing.T) {
+	invalid := "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+	for name, sent := range map[string]string{
+		"connections":        "",
+		"parts of heads":     "GET / HTTP/1.1\r\n",
+		"parts of bodies":    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc",
+		"invalid requests":   invalid,
+		"malformed requests": "z\r\n\r\n" + strings.Repeat("z", 9000),
+		"pipelined invalid":  invalid + invalid + invalid,
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := endpointtest.NewServer(t, endpointtest.Always(endpointtest.OKResponse))
+			w := startSidecar(t, nil, readyEndpoint("s-1", e.Address))
+			w.flood(func(conn net.Conn) { io.WriteString(conn, sent) })
+			for i := range 40 {
+				if got := w.send(w.request("read", "", 3*time.Second)); got.statusCode != http.StatusOK {
+					t.Fatalf("request %d: %+v", i, got)
+				}
+			}
+		})
+	}
+	t.Run("valid requests", func(t *testing.T) {
+		e := endpointtest.NewServer(t, endpointtest.Always(endpointtest.OKResponse))
+		w := startSidecar(t, nil, readyEndpoint("s-1", e.Address))
+		request := w.request("read", "", 3*time.Second)
+		var text strings.Builder
+		request.Write(&text)
+		var answered atomic.Int64
+		failures := make(chan error, 1)
+		w.flood(func(conn net.Conn) {
+			io.WriteString(conn, text.String())
+			response, err := http.ReadResponse(bufio.NewReader(conn), request)
+			if err == nil && response.StatusCode != http.StatusOK && response.StatusCode != http.StatusServiceUnavailable {
+				err = fmt.Errorf("status %d", response.StatusCode)
+			}
+			if err != nil {
+				select {
+				case failures <- err:
+				default:
+				}
+			}
+			answered.Add(1)
+		})
+		w.await("many requests to be answered", func() bool { return answered.Load() > 3000 })
+		select {
+		case err := <-failures:
+			t.Errorf("a valid request got no response: %v", err)
+		default:
+		}
+	})
+}
+
+// BenchmarkMakeRoom measures one connection's place in a full registry.
+func BenchmarkMakeRoom(b *testing.B) {
+	for _, registered := range []int{200, 800} {
+		b.Run(fmt.Sprint(registered), func(b *testing.B) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer listener.Close()
+			clients := newClientConns(registered)
+			clients.minUnproven = 0
+			var ends []net.Conn
+			accept := func() *clientConn {
+				near, err := net.Dial("tcp", listener.Addr().String())
+				if err != nil {
+					b.Fatal(err)
+				}
+				ends = append(ends, near)
+				far, err := listener.Accept()
+				if err != nil {
+					b.Fatal(err)
+				}
+				conn, err := newClientConn(far, clients)
+				if err != nil {
+					b.Fatal(err)
+				}
+				return conn
+			}
+			for range registered {
+				clients.connState(accept(), http.StateNew)
+			}
+			b.ResetTimer()
+			for range b.N {
+				b.StopTimer()
+				conn := accept()
+				b.StartTimer()
+				clients.connState(conn, http.StateNew)
+				b.StopTimer()
+				ends[0].Close() // the first one was evicted
+				ends = ends[1:]
+				b.StartTimer()
+			}
+			b.StopTimer()
+			for _, end := range ends {
+				end.Close()
+			}
+		})
+	}
+}
--- a/internal/sidecar/client_conn_idle_test.go
+++ b/internal/sidecar/client_conn_idle_test.go
@@ -18,7 +18,7 @@
 func TestIdleCloseSparesARequestInFlight(t *testing.T) {
 	for name, closeFound := range map[string]func(*clientConn){
 		"idle check": func(conn *clientConn) { conn.closeIdle() },
-		"eviction":   func(conn *clientConn) { conn.evict(true) },
+		"eviction":   func(conn *clientConn) { conn.evict() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			release := make(chan struct{})
--- a/internal/sidecar/client_conn_test.go
+++ b/internal/sidecar/client_conn_test.go
@@ -153,34 +153,6 @@
 	}
 }
 
-// A connection whose request was taken is not evicted; with one that is evicted, its first request is lost.
-func TestEvictionSparesATakenRequest(t *testing.T) {
-	for _, taken := range []bool{false, true} {
-		near, far := socketPair(t)
-		clients := newClientConns(1)
-		conn, err := newClientConn(far, clients)
-		if err != nil {
-			t.Fatal(err)
-		}
-		clients.connState(conn, http.StateNew)
-		io.WriteString(near, "GET /a HTTP/1.1\r\n\r\n")
-		if _, err := conn.Read(make([]byte, 64)); err != nil {
-			t.Fatal(err)
-		}
-		clients.connState(conn, http.StateActive)
-		if taken && !clients.markValidRequest(conn) {
-			t.Fatal("a request of an open connection was not taken")
-		}
-		clients.evictOne()
-		if isKept := clients.count() == 1; isKept != taken {
-			t.Errorf("taken %v: the connection is kept: %v", taken, isKept)
-		}
-		if !taken && clients.markValidRequest(conn) {
-			t.Error("the request of an evicted connection was taken")
-		}
-	}
-}
-
 // A connection ends whatever arrives while it is closed: the socket's close waits for a read in progress, and the read must not
 // wait for the close.
 func TestCloseDuringARead(t *testing.T) {
@@ -205,7 +177,7 @@
 			if i%2 == 0 {
 				conn.Close()
 			} else {
-				conn.evict(false)
+				conn.closeAtOnceIf(func() bool { return true })
 			}
 			close(closed)
 		}()
--- a/internal/sidecar/status_log.go
+++ b/internal/sidecar/status_log.go
@@ -36,10 +36,14 @@
 func (s *server) logStatus(balancer.Micros) {
 	clients := s.clients.counts()
 	open, idle := s.loop.upstream.ConnectionCounts()
-	s.loop.log.Info("status", "requests_taken", s.loop.lastRequestID, "requests", len(s.loop.requests),
+	attributes := []any{"requests_taken", s.loop.lastRequestID, "requests", len(s.loop.requests),
 		"clients_accepted", clients.accepted, "clients_new", clients.fresh, "clients_active", clients.active,
 		"clients_idle", clients.idle, "upstream_open", open, "upstream_idle", idle,
-		"events", len(s.loop.events), "goroutines", runtime.NumGoroutine())
+		"events", len(s.loop.events), "goroutines", runtime.NumGoroutine()}
+	for class, count := range clients.evicted {
+		attributes = append(attributes, "clients_evicted_"+evictionClass(class).String(), count)
+	}
+	s.loop.log.Info("status", attributes...)
 }
 
 // datagramCounts returns the datagrams by channel since the start; nil where there is no transport, or not yet. Any
