Don't evict a draining connection before its response has arrived

Callers could see a response break off beside a flood: a connection whose last response was written is drained before its close, and such connections are evicted first.

Cause: the eviction closed the socket over input that was not read, which makes the system reset the connection and drop what the client has not received.

The eviction now discards the input and asks the system whether all output is acknowledged.

--- a/internal/sidecar/client_conn_eviction.go
+++ b/internal/sidecar/client_conn_eviction.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/sys/unix"
+
+	"bramblestand/internal/bodybuffer"
 	"bramblestand/internal/socket"
 )
 
@@ -20,6 +23,10 @@
 	minUnprovenAge = 50 * time.Millisecond
 	// minChunkedStall is how long nothing must have arrived of a body in chunks before it counts as incomplete.
 	minChunkedStall = 100 * time.Millisecond
+	// maxAcknowledgeDelay is how long a client's system may take to acknowledge a response that it has received.
+	maxAcknowledgeDelay = 100 * time.Millisecond
+	// endOfOutput is how much the end of a connection's sending side counts among the bytes that are not acknowledged.
+	endOfOutput = 1
 	// maxEvictionWait limits how long a new connection waits for others to become evictable.
 	maxEvictionWait = time.Second
 	// evictionRetryInterval is the time between attempts to evict one.
@@ -146,7 +153,7 @@
 // evictionCandidate is a connection that may be evicted if it agrees.
 type evictionCandidate struct {
 	conn        *clientConn // nil if the class has none that is old enough
-	isUndecided bool        // what the connection holds will soon be known
+	isUndecided bool        // what the connection holds will soon be known, or delivered
 }
 
 // evictionCandidate returns the first connection of a class, if it is old enough. It moves it to the back of its queue, so that
@@ -161,7 +168,7 @@
 	}
 	conn := first.Value.(*clientConn)
 	age := time.Since(c.conns[conn].place.queuedAt)
-	isUndecided := class == classSilent || class == classUnproven
+	isUndecided := class == classSilent || class == classUnproven || class == classDraining && age < maxAcknowledgeDelay
 	if age < c.minAge(class) {
 		return evictionCandidate{isUndecided: isUndecided}
 	}
@@ -188,8 +195,7 @@
 	c.evicted[class]++
 }
 
-// evict closes the connection at once, unless its client is owed a response, and reports whether it did. What a client of a closing
-// connection has not received yet may be lost.
+// evict closes the connection at once, unless its client is owed a response or has to receive one, and reports whether it did.
 func (c *clientConn) evict() bool {
 	return c.closeAtOnceIf(c.isEvictableLocked)
 }
@@ -210,12 +216,12 @@
 	return isClosed
 }
 
-// isEvictableLocked reports whether no response is owed to the client: no request was read in full, or may wait unread, that has
-// none. The caller holds c.mu.
+// isEvictableLocked reports whether nothing is owed to the client: no request was read in full, or may wait unread, that has no
+// response, and all of the last response has reached the client's machine. The caller holds c.mu.
 func (c *clientConn) isEvictableLocked() bool {
 	switch {
 	case c.isClosing:
-		return true
+		return c.isResponseDelivered()
 	case c.hasValidRequest:
 		return !c.isInUseLocked() && socket.IsQuiet(c.Conn)
 	default:
@@ -237,3 +243,16 @@
 		return c.framing.bodyRemaining == 0
 	}
 }
+
+// isResponseDelivered discards what was received on a closing connection, and reports whether the client's system has
+// acknowledged all that was sent. If so, no reset by a close of the socket can overtake the response.
+func (c *clientConn) isResponseDelivered() (isDelivered bool) {
+	c.rawConn.Control(func(fd uintptr) { // not Read: it would wait for drainBeforeClose
+		buffer := bodybuffer.Get()
+		defer bodybuffer.Put(buffer)
+		readNonblocking(fd, buffer[:])
+		unacknowledged, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		isDelivered = unacknowledged <= endOfOutput || err != nil
+	})
+	return isDelivered
+}
--- a/internal/sidecar/client_conn_eviction_test.go
+++ b/internal/sidecar/client_conn_eviction_test.go
@@ -136,6 +136,29 @@
 	await(t, "the stalled body's connection to be evicted", func() bool { return conn.clients.evictOne() == evictedOne })
 }
 
+// A closed connection is not evicted before its client's system has the whole response: a reset could overtake it.
+func TestEvictionSparesAResponseOnItsWay(t *testing.T) {
+	conn := newRegisteredConn(t)
+	conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+	written, _ := conn.Write(make([]byte, 64<<20)) // as much as the system takes
+	conn.SetWriteDeadline(time.Time{})
+	conn.Close()
+	conn.clients.connState(conn.clientConn, http.StateClosed)
+	io.WriteString(conn.near, "more, which a close over would reset")
+	if conn.isEvicted() {
+		t.Error("evicted with a response on its way")
+	}
+	received := make(chan int64)
+	go func() {
+		n, _ := io.Copy(io.Discard, conn.near)
+		received <- n
+	}()
+	await(t, "the connection's eviction or end", func() bool { conn.clients.evictOne(); return conn.clients.count() == 0 })
+	if n := <-received; n != int64(written) {
+		t.Errorf("the client received %d of %d bytes", n, written)
+	}
+}
+
 // A place that young connections hold is waited for, until one of them may be evicted.
 func TestMakeRoomWaitsForYoungConnections(t *testing.T) {
 	conn := newRegisteredConn(t)
