Wait for the last accepted connection before the shutdown counts connections

Callers could see the end of a new connection in place of a response when a process ends.

Cause: the process ends once no connection is registered, and one that was accepted is registered a moment later, by net/http's hook; beside a flood it may now wait there for a place.

The shutdown now waits until the accepting goroutine has ended.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -179,7 +179,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	return s.shutDown(listener)
+	return s.shutDown(listener, served)
 }
 
 // isServing reports whether this process serves clients, drained or not.
@@ -206,8 +206,8 @@
 }
 
 // shutDown ends the service without losing a request. Each response from here on ends its connection; idle connections are
-// closed once clients no longer connect.
-func (s *server) shutDown(listener net.Listener) error {
+// closed once clients no longer connect. served receives once no further connection will be registered.
+func (s *server) shutDown(listener net.Listener, served <-chan error) error {
 	s.isShuttingDown.Store(true)
 	s.loop.log.Info("shutting down", "clients", s.clients.count())
 	if l, ok := listener.(*net.TCPListener); ok && s.handover != nil && s.handover.HasOtherProcess() {
@@ -215,6 +215,7 @@
 	}
 	time.Sleep(s.acceptDuration)
 	listener.Close()
+	<-served // else a connection that was just accepted could be missing from the count below
 	s.requests.bodies.abort()
 	// Not http.Server.Shutdown: it closes idle connections on which part of a request has arrived. A response may take longer than
 	// any deadline; its transfer rate limits it, and the platform decides when to kill the process.
--- a/internal/sidecar/shutdown_test.go
+++ b/internal/sidecar/shutdown_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -86,3 +88,56 @@
 		t.Errorf("a request that was incomplete: %v, %v; want 503, Retry-After and the end", got, err)
 	}
 }
+
+// lateListener hands on what it accepted only some time after the listener was closed.
+type lateListener struct {
+	net.Listener
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+func (l *lateListener) Close() error {
+	defer l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		<-l.closed
+		time.Sleep(20 * shutdownCheckInterval)
+	}
+	return conn, err
+}
+
+// A request on a connection that was accepted just before the end of accepting gets a response, by then a rejection. Guards against a process that ends between the accept
+// and the connection's registration.
+func TestShutdownAwaitsTheLastAccept(t *testing.T) {
+	e := endpointtest.NewServer(t, endpointtest.Always(endpointtest.OKResponse))
+	w := startSidecar(t, nil, readyEndpoint("s-1", e.Address))
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.server.acceptDuration = 0
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- w.server.serve(ctx, &lateListener{Listener: inner, closed: make(chan struct{})}) }()
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	w.request("read", "", time.Minute).Write(conn)
+	time.Sleep(20 * time.Millisecond) // in which the connection is accepted
+	stop()
+	conn.SetDeadline(time.Now().Add(testTimeout))
+	if got, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || got.StatusCode != http.StatusServiceUnavailable ||
+		got.Header.Get("Retry-After") == "" {
+		t.Errorf("the last connection: %v, %v; want 503 and Retry-After", got, err)
+	}
+	conn.Close()
+	if err := <-ended; err != nil {
+		t.Errorf("the end of serving: %v", err)
+	}
+}
