--- a/internal/sidecar/client_conn_eviction_test.go
+++ b/internal/sidecar/client_conn_eviction_test.go
@@ -136,17 +136,25 @@
 	await(t, "the stalled body's connection to be evicted", func() bool { return conn.clients.evictOne() == evictedOne })
 }
 
+// fillOutput writes until the system takes no more, and returns how many bytes that were.
+func (c *registeredConn) fillOutput() (written int) {
+	for n := 1; n > 0 || written == 0; written += n {
+		c.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+		n, _ = c.Write(make([]byte, 16<<20))
+	}
+	c.SetWriteDeadline(time.Time{})
+	return written
+}
+
 // A closed connection is not evicted before its client's system has the whole response: a reset could overtake it.
 func TestEvictionSparesAResponseOnItsWay(t *testing.T) {
 	conn := newRegisteredConn(t)
-	conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
-	written, _ := conn.Write(make([]byte, 64<<20)) // as much as the system takes
-	conn.SetWriteDeadline(time.Time{})
+	written := conn.fillOutput()
 	conn.Close()
 	conn.clients.connState(conn.clientConn, http.StateClosed)
 	io.WriteString(conn.near, "more, which a close over would reset")
 	if conn.isEvicted() {
-		t.Error("evicted with a response on its way")
+		t.Errorf("evicted with a response of %d bytes on its way", written)
 	}
 	received := make(chan int64)
 	go func() {
