--- a/internal/sidecar/shutdown_test.go
+++ b/internal/sidecar/shutdown_test.go
@@ -89,6 +89,27 @@
 	}
 }
 
+// Idle clients that keep their side of a closed connection open do not hold up the end of the process. Guards against a process
+// that a crowd keeps running until it is killed.
+func TestIdleClientsDoNotDelayTheEnd(t *testing.T) {
+	const maxDelay = time.Second
+	e := endpointtest.NewServer(t, endpointtest.Always(endpointtest.OKResponse))
+	w := startSidecar(t, nil, readyEndpoint("s-1", e.Address))
+	w.server.acceptDuration = 0
+	for range 20 {
+		w.dial()                // never used
+		w.connect().roundTrip() // used once
+	}
+	time.Sleep(minFirstByteWait) // after which an unused connection counts as idle
+	w.await("all to be idle", func() bool { counts := w.server.clients.counts(); return counts.idle == 20 && counts.fresh == 20 })
+	start := time.Now()
+	w.stop()
+	w.expectCleanEnd()
+	if took := time.Since(start); took > maxDelay {
+		t.Errorf("the process ended after %v, want %v at most", took, maxDelay)
+	}
+}
+
 // lateListener hands on what it accepted only some time after the listener was closed.
 type lateListener struct {
 	net.Listener
