Keep the connection of an upload whose response was buffered

Each upload closed its connection to the endpoint, and the next one paid for a new one: 20 uploads, 20 connections.

Cause: the exchange cancelled the context made for the wait after the body before it asked whether the watched context had ended, and a connection whose context has ended isn't kept.

The two deferred calls are one, in the right order.

--- a/internal/sidecar/request_body_test.go
+++ b/internal/sidecar/request_body_test.go
@@ -271,3 +271,22 @@
 		t.Errorf("%d requests reached the endpoint, want 2", n)
 	}
 }
+
+// Uploads one after the other share a connection to their endpoint. Guards against a connection that is closed after each upload
+// with a buffered response, which costs the endpoint a handshake for the next.
+func TestConnectionOfAnUploadIsReused(t *testing.T) {
+	const uploads = 5
+	e := endpointtest.NewServer(t, endpointtest.Always(endpointtest.OKResponse))
+	w := startSidecar(t, nil, readyEndpoint("s-1", e.Address))
+	_, before := e.Counts()
+	for range uploads {
+		body := strings.Repeat("x", 2*upstream.MaxBufferedBody)
+		if got := w.send(w.request("pay", body, time.Minute)); got.statusCode != http.StatusOK || got.body != "done" {
+			t.Fatalf("an upload: %+v", got)
+		}
+	}
+	requests, conns := e.Counts()
+	if requests != uploads || conns-before > 1 {
+		t.Errorf("%d uploads on %d connections, want %d on 1", requests, conns-before, uploads)
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -34,9 +34,10 @@
 	isReusable := false
 	defer func() {
 		err = markDeadline(e.ctx, err)
-		t.client.release(conn, e.stopWatch() && isReusable)
+		isWatchEnded := e.stopWatch() // before cancel, which would end the watched context
+		e.cancel()
+		t.client.release(conn, isWatchEnded && isReusable)
 	}()
-	defer func() { e.cancel() }()
 	if err := t.client.checkMayStart(ctx, conn.target, forwarding); err != nil {
 		return nil, nil, err
 	}
