Let readiness follow bans at once

With all endpoints banned both readiness addresses answered 200 until discovery's next list, and 503 as long after the bans: the application was sent to a sidecar that could only reject, or kept from one that would serve.

Cause: what readiness reads was written only where a list is applied, and bans change the targets without one.

Evidence: TestReadinessFollowsBans, 200 with the only endpoint banned, two runs of two before; 10 of 10 after. It is now written after every complete change of the targets.

--- a/internal/sidecar/admin_test.go
+++ b/internal/sidecar/admin_test.go
@@ -253,3 +253,27 @@
 		t.Error("a call that was answered 503 changed something")
 	}
 }
+
+// Readiness follows bans at once, without word from discovery. Guards against a sidecar that is asked for requests with all its
+// endpoints banned, or that goes on refusing them after the ban.
+func TestReadinessFollowsBans(t *testing.T) {
+	w := startSidecar(t, nil, readyEndpoint("s-1", endpointtest.NewServer(t, endpointtest.Always(endpointtest.OKResponse)).Address))
+	call := w.openAdmin()
+	readiness := func() int {
+		r, _ := http.NewRequest("GET", w.url+"/health/ready", nil)
+		return w.send(r).statusCode
+	}
+	for range 2 {
+		for _, c := range []struct {
+			path string
+			want int
+		}{{"/pin-servers/disable", 503}, {"/pin-servers/enable", 200}} {
+			if code := call("POST", c.path, "s-1"); code != 200 {
+				t.Fatalf("%s: %d", c.path, code)
+			}
+			if own, application := call("GET", "/ready", ""), readiness(); own != c.want || application != c.want {
+				t.Errorf("after %s: operators read %d, the application %d; want %d", c.path, own, application, c.want)
+			}
+		}
+	}
+}
--- a/internal/sidecar/endpoints.go
+++ b/internal/sidecar/endpoints.go
@@ -26,7 +26,7 @@
 	if kind != balancer.UpdateDelta {
 		l.removeEndpointsExcept(entries)
 	}
-	l.hasEndpoints.Store(len(l.targets) > 0)
+	l.noteTargets()
 	if kind != balancer.UpdateCached {
 		l.noteListReceived()
 	}
@@ -100,6 +100,9 @@
 	}
 }
 
+// noteTargets lets readiness follow a change of the targets, once it is complete.
+func (l *eventLoop) noteTargets() { l.hasEndpoints.Store(len(l.targets) > 0) }
+
 // setBans bans the endpoints of these names, and lifts the bans of all others. The loop's goroutine calls it.
 func (l *eventLoop) setBans(now balancer.Micros, names []string) {
 	isWanted := map[uint32]bool{}
@@ -115,6 +118,7 @@
 			l.liftBan(now, id)
 		}
 	}
+	l.noteTargets()
 }
 
 func (l *eventLoop) ban(now balancer.Micros, id uint32) {
