Make the answers of a busy sidecar to operators agree with the effect, and in time

An operators' call that the event loop did not get to was answered 503, could not be carried out, and took effect all the same; and a loop that was busy again and again made the answer later than the 1 s that operators are owed.

Cause: an urgent event that was given up stayed queued and was handled later; a recorded change is applied by the next poll; and each of up to four steps waited 0.9 s by itself.

Evidence: a drain that took effect had the same answer as a ban that did not; with events of 0.6 s both calls took 1.20 s.

--- a/internal/admin/controller.go
+++ b/internal/admin/controller.go
@@ -15,8 +15,10 @@
 var (
 	// ErrUnknownEndpoint reports that no endpoint of this name was ever listed; it is answered 404.
 	ErrUnknownEndpoint = errors.New("no such pin server was ever listed")
-	// ErrBusy reports that the sidecar did not get to a call in time; it is answered 503.
+	// ErrBusy reports that the sidecar did not get to a call in time, and that the call has no effect; it is answered 503.
 	ErrBusy = errors.New("the call could not be carried out in time")
+	// ErrUnconfirmed reports that a change was recorded and takes effect as soon as the sidecar gets to it; it is answered 503.
+	ErrUnconfirmed = errors.New("the change is recorded and takes effect when the sidecar gets to it: repeat the call to have it confirmed")
 	// ErrFleetDisabled reports that the configuration has no fleet; it is answered 404.
 	ErrFleetDisabled = errors.New("the view of the fleet is off (fleet.on)")
 	// ErrNoFleetMember reports that this process is not the sidecar's member of the fleet; it is answered 503.
@@ -38,9 +40,11 @@
 	IsServing() bool
 	// Settings returns the settings in force.
 	Settings() Settings
-	// SetBanned takes an endpoint out of use or back into use. It returns ErrUnknownEndpoint, or ErrBusy.
+	// SetBanned takes an endpoint out of use or back into use. It returns ErrUnknownEndpoint, ErrBusy or
+	// ErrUnconfirmed.
 	SetBanned(endpoint string, banned bool) error
-	// SetDrained sends clients to other sidecars or admits them again. It may return ErrBusy.
+	// SetDrained sends clients to other sidecars or admits them again. It may return ErrBusy or
+	// ErrUnconfirmed.
 	SetDrained(drained bool) error
 	// FleetStatus returns ErrFleetDisabled or ErrNoFleetMember where there is none; brief leaves out members and traffic.
 	FleetStatus(brief bool) (fleet.Status, error)
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -19,7 +19,11 @@
 	"bramblestand/internal/upstream"
 )
 
-const adminTimeout = 2 * time.Second // for a whole call, and for its answer
+const (
+	adminTimeout = 2 * time.Second // for reading a whole call, and for its answer
+	// adminCallTime is how long a call may wait for the event loop, in all: operators are owed an answer in 1 s.
+	adminCallTime = 800 * time.Millisecond
+)
 
 // adminServer serves the operators' calls at an address of their own. It bounds their connections as the clients' are
 // bounded, so that callers who send nothing keep nobody out.
@@ -95,14 +99,15 @@
 // SetBanned bans an endpoint that was ever listed to this process, or lifts its ban.
 func (c adminController) SetBanned(endpoint string, banned bool) error {
 	var isKnown bool
-	err := c.server.loop.postUrgent(func(balancer.Micros) { _, isKnown = c.server.loop.endpointIDs.lookup(endpoint) })
+	deadline := time.Now().Add(adminCallTime)
+	err := c.server.loop.postUrgentBefore(deadline, func(balancer.Micros) { _, isKnown = c.server.loop.endpointIDs.lookup(endpoint) })
 	if err != nil {
 		return err
 	}
 	if !isKnown {
 		return admin.ErrUnknownEndpoint
 	}
-	return c.server.updateSettings(func(settings *handover.State) {
+	return c.server.updateSettings(deadline, func(settings *handover.State) {
 		settings.Banned = slices.DeleteFunc(settings.Banned, func(name string) bool { return name == endpoint })
 		if banned {
 			settings.Banned = append(settings.Banned, endpoint)
@@ -112,7 +117,7 @@
 
 // SetDrained sends clients to other sidecars, or admits them again.
 func (c adminController) SetDrained(drained bool) error {
-	return c.server.updateSettings(func(settings *handover.State) { settings.Drained = drained })
+	return c.server.updateSettings(time.Now().Add(adminCallTime), func(settings *handover.State) { settings.Drained = drained })
 }
 
 // FleetStatus returns the fleet as this process sees it.
--- a/internal/sidecar/event_loop.go
+++ b/internal/sidecar/event_loop.go
@@ -21,7 +21,7 @@
 const (
 	// maxQueuedEvents is how many events may wait for the loop before whoever posts another one blocks.
 	maxQueuedEvents = 1024
-	// urgentTimeout limits one urgent event; an operator's call makes up to four.
+	// urgentTimeout limits the wait for the loop to begin with an urgent event.
 	urgentTimeout = 900 * time.Millisecond
 	// pruneInterval is between two closings of expired idle connections to endpoints.
 	pruneInterval = time.Second
@@ -214,15 +214,27 @@
 	}
 }
 
-// postUrgent has an event handled ahead of those that are queued, and waits for it. It returns admin.ErrBusy if urgentTimeout
-// passes first, when the event may still be handled later, and the context's error if the loop has ended. The loop's goroutine
-// must not call it.
+// postUrgent is postUrgentBefore with a deadline after urgentTimeout.
 func (l *eventLoop) postUrgent(e event) error {
+	return l.postUrgentBefore(time.Now().Add(urgentTimeout), e)
+}
+
+// postUrgentBefore has an event handled ahead of those that are queued, and waits for it. If the loop has not begun with it by the
+// deadline, the event will never be handled and admin.ErrBusy is returned; if the loop has ended, its context's error. The loop's
+// goroutine must not call it.
+func (l *eventLoop) postUrgentBefore(deadline time.Time, e event) error {
+	var isClaimed atomic.Bool // by the loop, which handles the event, or by the deadline, which drops it
 	handled := make(chan struct{})
-	timeout := time.NewTimer(urgentTimeout)
+	timeout := time.NewTimer(time.Until(deadline))
 	defer timeout.Stop()
+	handle := func(now balancer.Micros) {
+		if isClaimed.CompareAndSwap(false, true) {
+			e(now)
+			close(handled)
+		}
+	}
 	select {
-	case l.urgent <- func(now balancer.Micros) { e(now); close(handled) }:
+	case l.urgent <- handle:
 	case <-timeout.C:
 		return admin.ErrBusy
 	case <-l.ctx.Done():
@@ -232,6 +244,10 @@
 	case <-handled:
 		return nil
 	case <-timeout.C:
+	}
+	if isClaimed.CompareAndSwap(false, true) {
 		return admin.ErrBusy
 	}
+	<-handled
+	return nil
 }
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"runtime/debug"
 	"time"
 
 	"bramblestand/balancer"
+	"bramblestand/internal/admin"
 	"bramblestand/internal/config"
 	"bramblestand/internal/handover"
 	"bramblestand/internal/mutant"
@@ -34,12 +36,13 @@
 }
 
 // applySettings brings this process in line with the operators' settings and with the presence of another process of
-// this sidecar. Settings that are not newer than those in force do nothing.
-func (s *server) applySettings(settings handover.State, hasOtherProcess bool) error {
+// this sidecar. Settings that are not newer than those in force do nothing. It returns admin.ErrBusy if the event loop does not
+// get to it before the deadline.
+func (s *server) applySettings(deadline time.Time, settings handover.State, hasOtherProcess bool) error {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	if hasOtherProcess != s.hasOtherProcess || !s.limitsSplit {
-		if err := s.loop.postUrgent(func(balancer.Micros) {
+		if err := s.loop.postUrgentBefore(deadline, func(balancer.Micros) {
 			s.loop.balancer.SetProcessCount(processCount(hasOtherProcess))
 		}); err != nil {
 			return err
@@ -49,7 +52,7 @@
 	if settings.Revision <= s.appliedRevision {
 		return nil
 	}
-	if err := s.loop.postUrgent(func(now balancer.Micros) { s.loop.setBans(now, settings.Banned) }); err != nil {
+	if err := s.loop.postUrgentBefore(deadline, func(now balancer.Micros) { s.loop.setBans(now, settings.Banned) }); err != nil {
 		return err // the next poll tries again
 	}
 	s.appliedRevision = settings.Revision
@@ -64,7 +67,8 @@
 	for {
 		select {
 		case <-ticker.C:
-			err := s.applySettings(s.handover.Load(), s.handover.HasOtherProcess())
+			deadline := time.Now().Add(handover.PollInterval) // an operators' call may wait for this one
+			err := s.applySettings(deadline, s.handover.Load(), s.handover.HasOtherProcess())
 			if err != nil && ctx.Err() == nil {
 				s.loop.log.Warn("handover state not applied yet; it will be tried again", "error", err)
 			}
@@ -75,13 +79,19 @@
 }
 
 // updateSettings changes the operators' settings for this process and the other. Where state is persisted the change is
-// on disk before any process applies it: a call that was answered 200 has to outlive the machine's power.
-func (s *server) updateSettings(alter func(*handover.State)) error {
-	settings, err := s.handover.Update(alter, s.loop.persistAdminSettings)
+// on disk before any process applies it: a call that was answered 200 has to outlive the machine's power. After an error nothing
+// is changed, but for admin.ErrUnconfirmed: then the change is shared, and this process follows it with the next poll.
+func (s *server) updateSettings(deadline time.Time, alter func(*handover.State)) error {
+	persist := func(settings handover.State) error { return s.loop.persistAdminSettings(deadline, settings) }
+	settings, err := s.handover.Update(alter, persist)
 	if err != nil {
 		return fmt.Errorf("state file: %w", err)
 	}
-	return s.applySettings(settings, s.handover.HasOtherProcess())
+	err = s.applySettings(deadline, settings, s.handover.HasOtherProcess())
+	if errors.Is(err, admin.ErrBusy) {
+		return admin.ErrUnconfirmed
+	}
+	return err
 }
 
 // processCount is how many processes of this sidecar run.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -122,7 +122,7 @@
 // startWithOperators starts the event loop, applies the operators' settings, and then answers the operators' calls.
 func (s *server) startWithOperators(loopCtx context.Context, adminListener net.Listener, hasOtherProcess bool) error {
 	go s.loop.run()
-	if err := s.applySettings(s.handover.Load(), hasOtherProcess); err != nil {
+	if err := s.applySettings(time.Now().Add(urgentTimeout), s.handover.Load(), hasOtherProcess); err != nil {
 		return err
 	}
 	go newAdminServer(s).serve(loopCtx, adminListener)
--- a/internal/sidecar/snapshot.go
+++ b/internal/sidecar/snapshot.go
@@ -81,13 +81,14 @@
 }
 
 // persistAdminSettings saves the operators' settings, with the rest of a snapshot, and returns nil once they are on
-// disk, or where no state is persisted. An operator's call waits for it.
-func (l *eventLoop) persistAdminSettings(settings handover.State) error {
+// disk, or where no state is persisted. An operator's call waits for it; it returns admin.ErrBusy if the event loop does not get to
+// it before the deadline.
+func (l *eventLoop) persistAdminSettings(deadline time.Time, settings handover.State) error {
 	if l.snapshots == nil {
 		return nil
 	}
 	var s *state.Snapshot
-	if err := l.postUrgent(func(now balancer.Micros) { s = l.snapshot(now) }); err != nil {
+	if err := l.postUrgentBefore(deadline, func(now balancer.Micros) { s = l.snapshot(now) }); err != nil {
 		return err
 	}
 	s.Admin = state.AdminSettings(settings)
