Add a soak that ends sidecars under use by the platform's own terms

faultlab soak draws an end of a process from a seed, with signals in series, crowds, floods, upgrades, crashes and faults around it; clients use open connections until SIGKILL at its earliest.

--- a/cmd/faultlab/main.go
+++ b/cmd/faultlab/main.go
@@ -8,10 +8,11 @@
 //	faultlab chain [-levels N] [-fails S,S]                                 attempts over services in a row, DIR/chain.json
 //	faultlab latency [-rates R,R] [-plays N]                                the latency that a sidecar adds to a call, DIR/latency.json
 //	faultlab control [-servers N,N] [-rates R,R]                            the control traffic, DIR/control.json
+//	faultlab soak [-seeds N] [-first SEED] [-for D]                         ends sidecars under use, by the platform's rules
 //	faultlab scale [-out DIR] [-rungs N,N]                                  fleets of hollow sidecars up to 1,920, see docs/design-scale.md
 //	faultlab scale -agree [-out DIR]                                        hollow sidecars held against real processes
 //
-// run and search exit 1 on a bad experiment or a failed start, and 3 when a
+// run, search and soak exit 1 on a bad experiment or a failed start, and 3 when a
 // rule was broken (lost, forged, run twice, sent after a drain or a ban, a
 // check that the history violates).
 package main
@@ -40,6 +41,7 @@
   faultlab chain [-out DIR] [-levels N] [-size N] [-rate R] [-fails S,S] [-deadline D] [-for D] [-plain N,N] [-plain-rate R] [-parallel P] [-seed N]
   faultlab latency [-out DIR] [-sidecar PATH] [-servers N] [-rates R,R] [-plays N] [-warm D] [-duration D] [-price P] [-seed N]
   faultlab control [-out DIR] [-sidecar PATH] [-sidecars N] [-servers N,N] [-rates R,R] [-prices P,P] [-duration D] [-parallel P]
+  faultlab soak [-out DIR] -sidecar PATH [-seeds N] [-first SEED] [-for D] [-parallel P]
   faultlab scale [-out DIR] [-rungs N,N] [-only KIND,KIND] [-parallel P]
   faultlab scale -agree [-out DIR] [-seeds N,N] [-sidecar PATH]`
 
@@ -64,6 +66,8 @@
 		err = latency(os.Args[2:])
 	case "control":
 		err = control(os.Args[2:])
+	case "soak":
+		err = soakRuns(os.Args[2:])
 	case "scale":
 		err = scaleRun(os.Args[2:])
 	case "scale-rung": // for scale's own use
--- a/internal/lab/child_process.go
+++ b/internal/lab/child_process.go
@@ -31,7 +31,8 @@
 	return calls
 })
 
-func startChild(cmd *exec.Cmd) error {
+// StartChild starts a child process that ends with the lab, see childStarter.
+func StartChild(cmd *exec.Cmd) error {
 	done := make(chan error)
 	childStarter() <- func() { done <- cmd.Start() }
 	return <-done
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -37,6 +37,10 @@
 	Machines int      `toml:"machines"` // sidecars are assigned round robin; 0 for one each
 	// ProbePrice is prices.probe of the settings, the cost of a load probe in requests; the probe rate depends on it.
 	ProbePrice float64 `toml:"probe_price"` // 0 for 1
+	// Sockets is limits.sockets of every sidecar's configuration, 0 for sidecarSockets. Experiment files can't set it.
+	Sockets int `toml:"-"`
+	// Known is the list in every sidecar's configuration. Experiment files can't set it.
+	Known []Instance `toml:"-"`
 }
 
 // datagrams reports whether sidecars send datagrams to each other.
--- a/internal/lab/sidecar_config.go
+++ b/internal/lab/sidecar_config.go
@@ -29,12 +29,13 @@
 // additional JSON keys, each followed by a comma.
 func (e *Experiment) SidecarConfig(i, total int, listen, discovery, more string) []byte {
 	zones, _ := json.Marshal(e.Fleet.Zones)
+	known, _ := json.Marshal(append([]Instance{}, e.Fleet.Known...)) // JSON's [] rather than null
 	deadline := e.Load.Deadline.Microseconds()
 	if e.Fleet.View {
 		more += `"fleet":{"on":true},`
 	}
 	return fmt.Appendf(nil, `{"name":"s%d","listen":%q,"discovery":%q,"seed":"%x",%s
-"limits":{"memory_mb":192,"sockets":%d},"known":{"seq":0,"whole":true,"hosts":[]},
+"limits":{"memory_mb":192,"sockets":%d},"known":{"seq":0,"whole":true,"hosts":%s},
 "settings":{"areas":%s,"skus":["m"],"stages":["s"],"tenants":[],"discovery":"subscribe",
 "classes":[{"name":"read","repeat":"pure","target":%d,"give-up":%d,"credit":1},
  {"name":"order","repeat":"side_effect","target":%d,"give-up":%d,"credit":1}],
@@ -42,7 +43,7 @@
 "limits":{"may-tell":%t,"cancel":true,"dial-timeout":250000,"keepalive":5000000,"max-retry-after":1500000,"most-held":1000,"most-tries":3,"multiplex":1,"probes":true,"retry-after":true,"second-copies":true},
 "prices":{"probe":%v,"peer":0.01},
 "reporting":{"how":"probe","fields":["failed_ps","pending"]},"peers-total":%d,"position":%d,"zone":%d}}`,
-		i, listen, discovery, e.Seed*1000+uint64(i), more, sidecarSockets, zones, deadline*6/10, deadline, deadline*6/10, deadline, e.Fleet.Peers,
+		i, listen, discovery, e.Seed*1000+uint64(i), more, cmp.Or(e.Fleet.Sockets, sidecarSockets), known, zones, deadline*6/10, deadline, deadline*6/10, deadline, e.Fleet.Peers,
 		cmp.Or(e.Fleet.ProbePrice, 1), total, i, i%len(e.Fleet.Zones))
 }
 
--- a/internal/lab/sidecar_start.go
+++ b/internal/lab/sidecar_start.go
@@ -141,7 +141,7 @@
 func (s *Sidecars) startProcess(i int, process *sidecarProcess) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := startChild(process.cmd); err != nil {
+	if err := StartChild(process.cmd); err != nil {
 		return err
 	}
 	state := s.states[i]
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramblestand/balancer"
+	"bramblestand/internal/mutant"
 	"bramblestand/internal/upstream"
 )
 
@@ -128,6 +129,9 @@
 		endedAt = now
 	}
 	a.outcome.Status = result.Status
+	if mutant.RepeatsUnsafe && result.Status == balancer.Reset {
+		a.outcome.Status = balancer.ConnectFailed
+	}
 	a.outcome.LoadReport = result.LoadReport
 	a.outcome.Latency = endedAt - a.startedAt
 	a.loop.attemptFinished(now, a.request, a.outcome, result)
--- a/internal/sidecar/client_conn_eviction.go
+++ b/internal/sidecar/client_conn_eviction.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sys/unix"
 
 	"bramblestand/internal/bodybuffer"
+	"bramblestand/internal/mutant"
 	"bramblestand/internal/socket"
 )
 
@@ -60,7 +61,7 @@
 		return classDraining
 	case !s.hasValidRequest && !s.hasInput:
 		return classSilent
-	case !s.hasValidRequest:
+	case !s.hasValidRequest, mutant.EvictsRequests:
 		return classUnproven
 	case s.httpState == http.StateIdle:
 		return classIdle
@@ -220,6 +221,8 @@
 // response, and all of the last response has reached the client's machine. The caller holds c.mu.
 func (c *clientConn) isEvictableLocked() bool {
 	switch {
+	case mutant.EvictsRequests:
+		return true
 	case c.isClosing:
 		return c.isResponseDelivered()
 	case c.hasValidRequest:
--- a/internal/sidecar/endpoints.go
+++ b/internal/sidecar/endpoints.go
@@ -5,6 +5,7 @@
 
 	"bramblestand/balancer"
 	"bramblestand/internal/discovery"
+	"bramblestand/internal/mutant"
 	"bramblestand/internal/upstream"
 )
 
@@ -46,12 +47,16 @@
 
 // balancerEndpoint returns the balancer's entry for a listed endpoint. Its start time is 0 if the list gives none.
 func (l *eventLoop) balancerEndpoint(listed discovery.Endpoint) balancer.Endpoint {
+	state := discovery.StateOf(listed)
+	if mutant.IgnoresDraining && state == balancer.Draining {
+		state = balancer.Ready
+	}
 	return balancer.Endpoint{
 		ID:          l.endpointIDs.assign(listed.Name),
 		Zone:        l.cfg.ZoneIndex(listed.Zone),
 		MachineType: l.cfg.MachineTypeIndex(listed.MachineType),
 		Pod:         listed.Pod,
-		State:       discovery.StateOf(listed),
+		State:       state,
 		Weight:      listed.Weight,
 		StartTime:   max(0, listed.StartedAtMillis) * microsPerMilli,
 	}
--- a/internal/sidecar/request_handler.go
+++ b/internal/sidecar/request_handler.go
@@ -108,7 +108,8 @@
 	case err != nil:
 		e.rejectInvalid(err)
 	case !e.clients.markValidRequest(e.conn):
-		panic(http.ErrAbortHandler) // the connection was evicted
+		e.logNotServed(statusDisconnected)
+		panic(http.ErrAbortHandler) // the connection was closed
 	default:
 		e.awaitResponse(request, outgoing, body)
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -13,6 +13,7 @@
 
 	"bramblestand/internal/config"
 	"bramblestand/internal/handover"
+	"bramblestand/internal/mutant"
 	"bramblestand/internal/state"
 )
 
@@ -215,6 +216,9 @@
 	}
 	time.Sleep(s.acceptDuration)
 	listener.Close()
+	if mutant.EndsEarly {
+		return s.http.Close()
+	}
 	<-served // else a connection that was just accepted could be missing from the count below
 	s.requests.bodies.abort()
 	// Not http.Server.Shutdown: it closes idle connections on which part of a request has arrived. A response may take longer than
