Spare requests on their way while silent connections can be evicted

Cause: where all silent connections were younger than 50 ms, the eviction went on to requests in part.

It now waits for a silent one.

--- a/internal/sidecar/client_conn_eviction.go
+++ b/internal/sidecar/client_conn_eviction.go
@@ -119,8 +119,8 @@
 func (c *clientConns) evictOne() evictionResult {
 	result := evictedNone
 	for class := range evictableClasses {
-		if class == classIdle && result == evictedLater {
-			break // the idle connections of clients that sent valid requests are worth the wait
+		if class >= classUnproven && result == evictedLater {
+			break // requests on their way, and the connections of clients that sent valid ones, are worth the wait
 		}
 		switch c.evictOneOf(class) {
 		case evictedOne:
--- a/internal/sidecar/client_conn_eviction_test.go
+++ b/internal/sidecar/client_conn_eviction_test.go
@@ -318,3 +318,32 @@
 		})
 	}
 }
+
+// A request in part is spared while there are silent connections, however young. Guards against a flood of connections that costs
+// clients their requests in pieces.
+func TestSilentConnectionsAreEvictedBeforeRequestsInPart(t *testing.T) {
+	clients := newClientConns(2)
+	var conns []*clientConn
+	for range 2 {
+		near, far := socketPair(t)
+		conn, err := newClientConn(far, clients)
+		if err != nil {
+			t.Fatal(err)
+		}
+		clients.connState(conn, http.StateNew)
+		if len(conns) == 0 {
+			io.WriteString(near, "GET")
+			if _, err := io.ReadFull(conn, make([]byte, 3)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(2 * minUnprovenAge) // so that the request in part may be evicted, and the silent connection not yet
+		}
+		conns = append(conns, conn)
+	}
+	clients.makeRoom()
+	clients.mu.Lock()
+	defer clients.mu.Unlock()
+	if clients.conns[conns[0]] == nil || clients.conns[conns[1]] != nil {
+		t.Error("the silent connection was not the one that was evicted")
+	}
+}
