Count the time before the accept in a silent connection's age

Cause: since evictions spare connections that were silent for under 50 ms, accepting fell behind a flood of over 2,000 connections a second, and the system's queue held requests when the listener closed.

The system knows when the client connected, so a connection that was silent while it waited for its accept may go at once, and the queue grows no longer than that age.

--- a/internal/sidecar/client_conn_eviction.go
+++ b/internal/sidecar/client_conn_eviction.go
@@ -80,9 +80,9 @@
 	queuedAt time.Time
 }
 
-// enqueue appends a connection to the queue of its class.
-func (q *evictionQueues) enqueue(conn *clientConn, class evictionClass) evictionPlace {
-	place := evictionPlace{class: class, queuedAt: time.Now()}
+// enqueue appends a connection to the queue of its class, in which it has been since queuedAt.
+func (q *evictionQueues) enqueue(conn *clientConn, class evictionClass, queuedAt time.Time) evictionPlace {
+	place := evictionPlace{class: class, queuedAt: queuedAt}
 	if class < evictableClasses {
 		place.element = q[class].PushBack(conn)
 	}
@@ -196,6 +196,17 @@
 	c.evicted[class]++
 }
 
+// connectedFor returns how long ago the client has connected, if it has sent nothing since: the connection may have waited for its
+// accept. It is 0 where the system does not know.
+func (c *clientConn) connectedFor() (duration time.Duration) {
+	c.rawConn.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			duration = time.Duration(info.Last_ack_recv) * time.Millisecond
+		}
+	})
+	return duration
+}
+
 // evict closes the connection at once, unless its client is owed a response or has to receive one, and reports whether it did.
 func (c *clientConn) evict() bool {
 	return c.closeAtOnceIf(c.isEvictableLocked)
--- a/internal/sidecar/client_conn_eviction_test.go
+++ b/internal/sidecar/client_conn_eviction_test.go
@@ -319,6 +319,35 @@
 	}
 }
 
+// The time that a connection waited for its accept counts as its age: accepting must not stay behind a flood of connections that
+// have already shown that they are silent. Guards against requests that are still queued when the process stops accepting.
+func TestTimeBeforeTheAcceptCounts(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	near, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	time.Sleep(2 * minUnprovenAge)
+	far, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients := newClientConns(1)
+	conn, err := newClientConn(far, clients)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients.connState(conn, http.StateNew)
+	if clients.evictOne() != evictedOne {
+		t.Error("a connection that was silent before its accept is not evicted")
+	}
+}
+
 // A request in part is spared while there are silent connections, however young. Guards against a flood of connections that costs
 // clients their requests in pieces.
 func TestSilentConnectionsAreEvictedBeforeRequestsInPart(t *testing.T) {
