Say in the log why a request was rejected, and count rejections by reason

The balancer's Reject now carries a typed reason (seven of them); the sidecar adds its own three. request not served has reason and retry_after, status counts by reason.

--- a/balancer/actions.go
+++ b/balancer/actions.go
@@ -7,7 +7,8 @@
 	// means until the client's deadline.
 	StartAttempt(id uint64, endpoint uint32, timeout Micros)
 	// Reject answers a request, with the promise that a retry is harmless; retryAfter of 0 names no time.
-	Reject(id uint64, retryAfter Micros)
+	// The reason is for logs.
+	Reject(id uint64, retryAfter Micros, reason RejectReason)
 	// Fail answers a request and promises nothing.
 	Fail(id uint64)
 	// CancelAttempt stops waiting for an attempt. Its outcome is still reported.
--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -29,21 +29,24 @@
 }
 
 // pickAndStart picks an endpoint and starts an attempt there, unless nothing is available, the request
-// would be too late or the breakers drop it. It reports whether an attempt was started; isFirst means that
-// the request has none yet.
-func (b *Balancer) pickAndStart(now Micros, r *request, isFirst bool) bool {
+// would be too late or the breakers drop it. It returns why no attempt was started, or notRejected; isFirst
+// means that the request has none yet.
+func (b *Balancer) pickAndStart(now Micros, r *request, isFirst bool) RejectReason {
 	r.priority = b.requestPriority(now, r)
 	if e := b.findReinstated(now, r); e != nil && b.breakerAllows(now, r, e) {
 		return b.startAttempt(now, r, e)
 	}
 	e := b.pickOrRepeat(now, r)
-	if e == nil || !b.admits(now, r, e, isFirst) {
-		return false
+	if e == nil {
+		return RejectNoEndpoint
+	}
+	if !b.admits(now, r, e, isFirst) {
+		return RejectLatency
 	}
 	if !b.breakerAllows(now, r, e) {
 		e = b.pick(now, r, e)
 		if e == nil || !b.breakerAllows(now, r, e) {
-			return false
+			return RejectBreaker
 		}
 	}
 	return b.startAttempt(now, r, e)
@@ -61,11 +64,11 @@
 	return nil
 }
 
-// startAttempt starts an attempt if the safety rules allow it, and reports whether it did. Every attempt
+// startAttempt starts an attempt if the safety rules allow it, and else returns why not. Every attempt
 // leaves through it.
-func (b *Balancer) startAttempt(now Micros, r *request, e *endpoint) bool {
+func (b *Balancer) startAttempt(now Micros, r *request, e *endpoint) RejectReason {
 	if !b.mayStartAttempt(now, r, e) {
-		return false
+		return RejectNoEndpoint
 	}
 	if b.isWarmingUp(now, e) {
 		e.slowStart.budget -= r.work * slowStartCharge
@@ -90,7 +93,7 @@
 	if len(r.attempts) == 1 && !r.IsUploading {
 		b.actions.SetTimer(max(1, r.Deadline-now), r.timerToken)
 	}
-	return true
+	return notRejected
 }
 
 // markInFlight counts an attempt as in flight, from the instant at which its request has been sent.
@@ -125,7 +128,7 @@
 		return
 	}
 	if !b.retry(now, r, a) {
-		b.reject(now, r)
+		b.reject(now, r, RejectAttemptFailed)
 	}
 }
 
--- a/balancer/example_test.go
+++ b/balancer/example_test.go
@@ -13,7 +13,9 @@
 	h.sent = append(h.sent, endpoint)
 	fmt.Printf("send request %d to endpoint %d\n", id, endpoint)
 }
-func (h *host) Reject(id uint64, after balancer.Micros)         { fmt.Printf("reject request %d\n", id) }
+func (h *host) Reject(id uint64, after balancer.Micros, _ balancer.RejectReason) {
+	fmt.Printf("reject request %d\n", id)
+}
 func (h *host) Fail(id uint64)                                  { fmt.Printf("fail request %d\n", id) }
 func (h *host) CancelAttempt(id uint64, attempt int)            {}
 func (h *host) SetTimer(balancer.Micros, uint32)                {}
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -36,6 +36,7 @@
 type recorder struct {
 	attempts []startedAttempt
 	rejected []uint64
+	reasons  []RejectReason // of those
 	failed   []uint64
 	cancels  []uint64
 	probes   []uint32
@@ -50,7 +51,9 @@
 	r.attempts = append(r.attempts, startedAttempt{id, e})
 }
 
-func (r *recorder) Reject(id uint64, _ Micros) { r.rejected = append(r.rejected, id) }
+func (r *recorder) Reject(id uint64, _ Micros, reason RejectReason) {
+	r.rejected, r.reasons = append(r.rejected, id), append(r.reasons, reason)
+}
 
 func (r *recorder) Fail(id uint64) { r.failed = append(r.failed, id) }
 
--- a/balancer/requests.go
+++ b/balancer/requests.go
@@ -39,14 +39,18 @@
 		return
 	}
 	if int(in.Class) >= len(b.classes) {
-		b.actions.Reject(in.ID, 0)
+		b.actions.Reject(in.ID, 0, RejectUnknownClass)
 		return
 	}
 	r := b.newRequest(now, in)
 	b.recordArrival(now, r)
 	b.estimateWork(r)
-	if now >= in.Deadline || b.unansweredCount > b.settings.Limits.MaxUnanswered {
-		b.reject(now, r)
+	if now >= in.Deadline {
+		b.reject(now, r, RejectDeadlinePassed)
+		return
+	}
+	if b.unansweredCount > b.settings.Limits.MaxUnanswered {
+		b.reject(now, r, RejectUnanswered)
 		return
 	}
 	if !b.awaitProbes(now, r) {
@@ -105,12 +109,12 @@
 func (b *Balancer) admitOrReject(now Micros, r *request) {
 	b.stopAwaitingProbes(r)
 	isFirst := len(r.attempts) == 0
-	started := b.pickAndStart(now, r, isFirst)
+	reason := b.pickAndStart(now, r, isFirst)
 	if isFirst {
-		b.rejectedFraction.add(indicator(!started), fractionWeight)
+		b.rejectedFraction.add(indicator(reason != notRejected), fractionWeight)
 	}
-	if !started {
-		b.reject(now, r)
+	if reason != notRejected {
+		b.reject(now, r, reason)
 	}
 }
 
@@ -168,7 +172,7 @@
 		if last := r.lastAttempt(); last != nil && last.outstanding {
 			b.learnServiceTime(now, r, last, float64(now-last.startedAt), true)
 		}
-		b.reject(now, r)
+		b.reject(now, r, RejectDeadlinePassed)
 		return
 	}
 	if r.awaitingProbes {
@@ -178,7 +182,7 @@
 
 // reject answers a request with a rejection, which promises that a retry is harmless, or fails it where
 // that cannot be promised.
-func (b *Balancer) reject(now Micros, r *request) {
+func (b *Balancer) reject(now Micros, r *request, reason RejectReason) {
 	if r.answered || !b.mayReject(r) {
 		b.fail(r)
 		return
@@ -189,7 +193,7 @@
 		retryAfter = Micros(fraction * float64(b.classOf(r).LatencyObjective))
 		retryAfter = min(retryAfter, b.settings.Limits.MaxRetryAfter)
 	}
-	b.actions.Reject(r.ID, retryAfter)
+	b.actions.Reject(r.ID, retryAfter, reason)
 	b.finish(r)
 }
 
--- a/balancer/retry_budget.go
+++ b/balancer/retry_budget.go
@@ -15,7 +15,7 @@
 // retry starts another attempt after one that failed, if the budget covers it, and reports whether it did.
 func (b *Balancer) retry(now Micros, r *request, failed *attempt) bool {
 	cost := indicator(failed.mayHaveRun)
-	if b.retryBudget.tokens < cost || !b.pickAndStart(now, r, false) {
+	if b.retryBudget.tokens < cost || b.pickAndStart(now, r, false) != notRejected {
 		return false
 	}
 	b.retryBudget.tokens -= cost
--- a/balancer/safety_test.go
+++ b/balancer/safety_test.go
@@ -102,7 +102,7 @@
 	return r
 }
 
-func (c *safetyChecker) Reject(id uint64, _ Micros) {
+func (c *safetyChecker) Reject(id uint64, _ Micros, _ RejectReason) {
 	if r := c.answer(id); r != nil && r.firstThatMayHaveRun() != nil {
 		class := c.settings.Classes[r.request.Class]
 		if class.RetrySafety == NonIdempotent || class.RetrySafety == IdempotentWithKey && class.DedupScope != DedupScopeFleet {
@@ -365,11 +365,11 @@
 		return c
 	}
 	for name, do := range map[string]func(*safetyChecker){
-		"two answers":                    func(c *safetyChecker) { c.Reject(0, 0); c.Fail(0) },
+		"two answers":                    func(c *safetyChecker) { c.Reject(0, 0, RejectLatency); c.Fail(0) },
 		"attempt after the answer":       func(c *safetyChecker) { c.Fail(0); c.StartAttempt(0, 1, 0) },
 		"attempt at a draining endpoint": func(c *safetyChecker) { c.endpoints[1] = Endpoint{ID: 1, State: Draining}; c.StartAttempt(0, 1, 0) },
 		"not idempotent, retried":        func(c *safetyChecker) { c.StartAttempt(4, 1, 0); c.StartAttempt(4, 2, 0) },
-		"not idempotent, rejected":       func(c *safetyChecker) { c.StartAttempt(4, 1, 0); c.Reject(4, 0) },
+		"not idempotent, rejected":       func(c *safetyChecker) { c.StartAttempt(4, 1, 0); c.Reject(4, 0, RejectLatency) },
 		"retry outside the zone":         func(c *safetyChecker) { c.StartAttempt(2, 1, 0); c.StartAttempt(2, 3, 0) },
 		"retry outside the pod":          func(c *safetyChecker) { c.StartAttempt(3, 1, 0); c.StartAttempt(3, 3, 0) },
 		"retry after the window":         func(c *safetyChecker) { c.StartAttempt(1, 1, 0); c.now = second; c.StartAttempt(1, 2, 0) },
--- a/balancer/script_test.go
+++ b/balancer/script_test.go
@@ -238,8 +238,10 @@
 	return load
 }
 
-func (s *script) Reject(id uint64, after Micros) { s.record(recordReject, id, uint64(after)) }
-func (s *script) Fail(id uint64)                 { s.record(recordFail, id) }
+func (s *script) Reject(id uint64, after Micros, _ RejectReason) {
+	s.record(recordReject, id, uint64(after))
+}
+func (s *script) Fail(id uint64) { s.record(recordFail, id) }
 
 // CancelAttempt ends an attempt soon; its own outcome then comes a second time.
 func (s *script) CancelAttempt(id uint64, attempt int) {
--- a/balancer/slow_start_fleet_test.go
+++ b/balancer/slow_start_fleet_test.go
@@ -131,7 +131,7 @@
 	c.fleet.after(delay, func() { c.balancer.TimerFired(c.fleet.now, token) })
 }
 
-func (c *slowStartBalancer) Reject(uint64, Micros) {}
+func (c *slowStartBalancer) Reject(uint64, Micros, RejectReason) {}
 
 func (c *slowStartBalancer) Fail(uint64) {}
 
--- a/cmd/simadapter/instance.go
+++ b/cmd/simadapter/instance.go
@@ -78,7 +78,9 @@
 }
 
 // Reject answers a request with the promise that a retry is harmless.
-func (i *instance) Reject(id uint64, retryAfter balancer.Micros) { i.reply.Reject(id, retryAfter) }
+func (i *instance) Reject(id uint64, retryAfter balancer.Micros, _ balancer.RejectReason) {
+	i.reply.Reject(id, retryAfter)
+}
 
 // Fail answers a request without any promise.
 func (i *instance) Fail(id uint64) { i.reply.Fail(id) }
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -12,8 +12,9 @@
 // an event, from the loop's goroutine.
 
 // Reject responds 503: the request may be sent again, after retryAfter, without a second effect.
-func (l *eventLoop) Reject(id uint64, retryAfter balancer.Micros) {
-	l.respond(l.requests[id], finalResponse{statusCode: http.StatusServiceUnavailable, retryAfter: retryAfter})
+func (l *eventLoop) Reject(id uint64, retryAfter balancer.Micros, reason balancer.RejectReason) {
+	l.rejections.add(reason.String())
+	l.respond(l.requests[id], finalResponse{statusCode: http.StatusServiceUnavailable, retryAfter: retryAfter, reason: reason.String()})
 }
 
 // Fail responds 502: the request failed, and may have run.
--- a/internal/sidecar/event_loop.go
+++ b/internal/sidecar/event_loop.go
@@ -71,6 +71,7 @@
 	restoredMembership json.RawMessage            // the membership's view that an earlier process persisted
 
 	// For any goroutine.
+	rejections   rejectionCounts
 	hasEndpoints atomic.Bool                 // requests may be sent to an endpoint: one is listed, ready and not banned
 	listReceived chan struct{}               // closed with the first list from discovery
 	fleet        atomic.Pointer[fleet.Fleet] // nil without a fleet, and until it is joined
--- a/internal/sidecar/event_loop_test.go
+++ b/internal/sidecar/event_loop_test.go
@@ -20,7 +20,7 @@
 }
 
 func (r *timerRejecter) TimerFired(_ balancer.Micros, token uint32) {
-	r.loop.Reject(uint64(token), 0)
+	r.loop.Reject(uint64(token), 0, balancer.RejectLatency)
 }
 
 func (r *timerRejecter) Start(balancer.Micros) {}
--- /dev/null
+++ b/internal/sidecar/rejections_test.go
@@ -0,0 +1,59 @@
+package sidecar
+
+import (
+	"bytes"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bramblestand/internal/endpointtest"
+)
+
+// lockedBuffer is a log that may be read while it is written.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// The log names the reason of each rejection and when the client is to come again, and counts rejections by reason.
+func TestLogNamesTheReasonOfARejection(t *testing.T) {
+	e := endpointtest.NewServer(t, endpointtest.Always(endpointtest.RejectedResponse))
+	log := &lockedBuffer{}
+	w := &testSidecar{t: t, registry: newFakeRegistry(t, readyEndpoint("s-1", e.Address)), log: slog.NewTextHandler(log, nil)}
+	w.launch(newTestConfig(t, w.registry.address, nil, readyEndpoint("s-1", e.Address)))
+	w.await("the list", func() bool { return w.loop.hasEndpoints.Load() })
+	expect := func(what string) {
+		t.Helper()
+		w.await(what+" in the log", func() bool { return strings.Contains(log.String(), what) })
+	}
+	reject := func(class string) {
+		t.Helper()
+		if got := w.send(w.request(class, "", time.Minute)); got.statusCode != http.StatusServiceUnavailable {
+			t.Errorf("%+v, want 503", got)
+		}
+	}
+	reject("order")
+	expect("reason=attempt_failed retry_after=")
+	w.onLoop(func() { w.loop.setBans(w.loop.clock.now(), []string{"s-1"}) })
+	reject("read")
+	expect("reason=no_endpoint retry_after=")
+	w.server.requests.bodies.abort()
+	reject("read")
+	expect("reason=shutting_down retry_after=50ms")
+	expect("rejected_attempt_failed=1 rejected_no_endpoint=1 rejected_shutting_down=1")
+}
--- a/internal/sidecar/request_handler.go
+++ b/internal/sidecar/request_handler.go
@@ -89,26 +89,26 @@
 func (e *clientExchange) serve() {
 	if e.clients.isOverLimit() {
 		// With more connections the process would run out of descriptors, and could neither accept nor send.
-		e.reject(overloadRetryAfter)
+		e.reject(overloadRetryAfter, rejectedConnections)
 		return
 	}
 	if len(e.in.TransferEncoding) > 0 {
 		e.closeConnection() // requestFraming does not look at what follows such a request
 	}
 	body := &requestBody{reader: e.in.Body, controller: e.controller, contentLength: e.in.ContentLength}
-	if retryAfter, ok := e.bodies.add(body); !ok {
-		e.rejectUnread(retryAfter)
+	if retryAfter, reason, ok := e.bodies.add(body); !ok {
+		e.rejectUnread(retryAfter, reason)
 		return
 	}
 	defer e.bodies.remove(body)
 	request, outgoing, err := e.read(body)
 	switch {
 	case err != nil && body.wasAborted():
-		e.rejectUnread(shutdownRetryAfter)
+		e.rejectUnread(shutdownRetryAfter, rejectedShuttingDown)
 	case err != nil:
 		e.rejectInvalid(err)
 	case !e.clients.markValidRequest(e.conn):
-		e.logNotServed(statusDisconnected)
+		e.logNotServed(finalResponse{statusCode: statusDisconnected})
 		panic(http.ErrAbortHandler) // the connection was closed
 	default:
 		e.awaitResponse(request, outgoing, body)
@@ -150,14 +150,14 @@
 	stop := e.conn.watchDisconnect(isUploading)
 	defer stop()
 	if !e.loop.postForClient(e.conn.disconnected, func(now balancer.Micros) { e.loop.admitRequest(now, r, in) }) {
-		e.logNotServed(statusDisconnected)
+		e.logNotServed(finalResponse{statusCode: statusDisconnected})
 		panic(http.ErrAbortHandler)
 	}
 	select {
 	case response := <-r.response:
 		e.writeResponse(response, body)
 	case <-e.conn.disconnected.Done():
-		e.logNotServed(statusDisconnected)
+		e.logNotServed(finalResponse{statusCode: statusDisconnected})
 		e.loop.post(func(now balancer.Micros) { e.loop.clientDisconnected(now, r) })
 		// A client that only closed its sending side must not read an empty response that no endpoint gave.
 		panic(http.ErrAbortHandler)
@@ -167,7 +167,7 @@
 // writeResponse writes the final response.
 func (e *clientExchange) writeResponse(response finalResponse, body *requestBody) {
 	if response.statusCode != http.StatusOK {
-		e.logNotServed(response.statusCode)
+		e.logNotServed(response)
 	}
 	// What is not read of a body stands before the connection's next request.
 	if e.isDraining() || body.hasUnread() {
@@ -211,16 +211,18 @@
 }
 
 // reject answers 503 and ends the connection.
-func (e *clientExchange) reject(retryAfter time.Duration) {
+func (e *clientExchange) reject(retryAfter time.Duration, reason string) {
 	e.closeConnection()
-	e.logNotServed(http.StatusServiceUnavailable)
-	e.writeBuffered(finalResponse{statusCode: http.StatusServiceUnavailable, retryAfter: retryAfter.Microseconds()})
+	e.loop.rejections.add(reason)
+	response := finalResponse{statusCode: http.StatusServiceUnavailable, retryAfter: retryAfter.Microseconds(), reason: reason}
+	e.logNotServed(response)
+	e.writeBuffered(response)
 }
 
 // rejectUnread rejects a request whose body was not read: there is no memory for it, or the process is shutting down and might
 // be killed before the request is answered. The client's retry reaches another process.
-func (e *clientExchange) rejectUnread(retryAfter time.Duration) {
-	e.reject(retryAfter)
+func (e *clientExchange) rejectUnread(retryAfter time.Duration, reason string) {
+	e.reject(retryAfter, reason)
 	if e.in.ContentLength != 0 {
 		e.flushAndClose()
 	}
@@ -247,10 +249,14 @@
 // statusDisconnected stands in the log for a request whose client disconnected before its response.
 const statusDisconnected = 0
 
-// logNotServed logs a request that was not served.
-func (e *clientExchange) logNotServed(status int) {
+// logNotServed logs a request that was not served, and for a rejection why, and when the client is to come again.
+func (e *clientExchange) logNotServed(response finalResponse) {
 	duration := time.Duration(e.loop.clock.now()-e.arrived) * time.Microsecond
-	e.logRequest("request not served", "status", status, "duration", duration)
+	attributes := []any{"status", response.statusCode, "duration", duration}
+	if response.reason != "" {
+		attributes = append(attributes, "reason", response.reason, "retry_after", time.Duration(response.retryAfter)*time.Microsecond)
+	}
+	e.logRequest("request not served", attributes...)
 }
 
 // logRequest logs an event of the request, with its id, its connection and how its body is framed.
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -42,6 +42,7 @@
 type finalResponse struct {
 	statusCode int
 	retryAfter balancer.Micros // with status 503
+	reason     string          // of a rejection, for the log
 	header     http.Header
 	body       []byte
 	stream     *upstream.ResponseStream // of the rest of the body; nil if body is all of it
@@ -118,6 +119,7 @@
 	response := finalResponse{statusCode: statusCode}
 	if statusCode == http.StatusServiceUnavailable {
 		response.retryAfter = shutdownRetryAfter.Microseconds()
+		response.reason = rejectedShuttingDown
 	}
 	return response
 }
--- a/internal/sidecar/status_log.go
+++ b/internal/sidecar/status_log.go
@@ -43,6 +43,7 @@
 	for class, count := range clients.evicted {
 		attributes = append(attributes, "clients_evicted_"+evictionClass(class).String(), count)
 	}
+	attributes = append(attributes, s.loop.rejections.attributes()...)
 	s.loop.log.Info("status", attributes...)
 }
 
