--- a/cmd/faultlab/scale.go
+++ b/cmd/faultlab/scale.go
@@ -91,7 +91,7 @@
 		fmt.Print(a.Table())
 		return lab.WriteJSON(filepath.Join(o.out, "scale-agreement.json"), a)
 	}
-	specs := scale.Rungs(o.rungs)
+	specs := scale.SweepSpecs(o.rungs)
 	if o.only != "" {
 		kinds := strings.Split(o.only, ",")
 		for _, k := range kinds {
@@ -101,7 +101,7 @@
 		}
 		specs = slices.DeleteFunc(specs, func(s scale.Spec) bool { return !slices.Contains(kinds, kindOf(s)) })
 	}
-	l, failed := scale.Climb(ctx, program, specs, scale.Measured, o.places, filepath.Join(o.out, "rungs"), say)
+	l, failed := scale.Sweep(ctx, program, specs, scale.Measured, o.places, filepath.Join(o.out, "rungs"), say)
 	l.Command = fmt.Sprintf("faultlab scale -rungs %s -only %q -parallel %d", strings.Trim(fmt.Sprint(o.rungs), "[]"), o.only, o.places)
 	fmt.Print(l.Table())
 	return errors.Join(failed, lab.WriteJSON(filepath.Join(o.out, "scale.json"), l), l.Plot(filepath.Join(o.out, "scale.png")))
--- a/internal/lab/scale/agree.go
+++ b/internal/lab/scale/agree.go
@@ -295,7 +295,7 @@
 				late++
 			}
 			r := realFigures(spec, result)
-			h, err := RunRung(ctx, program, Order{spec, Measured}, filepath.Join(folder, spec.Name+".json"))
+			h, err := RunInProcess(ctx, program, Order{spec, Measured}, filepath.Join(folder, spec.Name+".json"))
 			if err != nil {
 				return nil, fmt.Errorf("%s: %w", spec.Name, err)
 			}
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -17,7 +17,7 @@
 const BudgetBytes = 3000
 
 // Table is the ladder for people: a line a phase.
-func (l *Ladder) Table() string {
+func (l *SweepResult) Table() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s: %.0f s\nB/s of control on the wire a sidecar, sent and borne; mean/p99 of 10 s windows\n", l.Command, l.Seconds)
 	fmt.Fprintf(&b, "%-22s %-9s %5s | %15s %15s %15s | %13s %13s | %12s | %8s %s\n", "rung", "phase", "s", "all B/s", "probe B/s", "discovery B/s",
@@ -51,7 +51,7 @@
 }
 
 // Plot draws the control bytes a second of a sidecar over the fleet's size, the budget as a line, as a PNG file.
-func (l *Ladder) Plot(path string) error {
+func (l *SweepResult) Plot(path string) error {
 	p := plot.New()
 	p.Title.Text = "control of one sidecar: bytes a second, sent and borne"
 	p.X.Label.Text = "pin servers and sidecars (log)"
--- a/internal/lab/scale/ladder.go
+++ b/internal/lab/scale/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,23 +15,24 @@
 	"time"
 )
 
-// Ladder is all rungs as played.
-type Ladder struct {
+// SweepResult is the result of a sweep over fleet sizes.
+type SweepResult struct {
 	Command string   `json:"command"`
 	Seconds float64  `json:"seconds"` // of real time
 	Costs   Costs    `json:"costs"`
-	Rungs   []Result `json:"rungs"`
-	NotRun  []string `json:"not_run"` // rungs with the reason
+	Rungs   []Result `json:"rungs"`   // the runs that ended, by size
+	NotRun  []string `json:"not_run"` // names of runs with the reason
 }
 
-// LeastPrice is the lowest prices.probe of the operators' deployments, in requests' worth; the lab's own is 1.
-const LeastPrice = 0.0014
+// MinProbePrice is the lowest prices.probe of the operators' deployments, in the price of a request; the lab's own is 1.
+const MinProbePrice = 0.0014
 
-// MemoryMB is what rungs side by side may take, by needMB.
-const MemoryMB = 10_000
+// MaxMemoryMB is what runs at the same time may take, by memoryNeededMB.
+const MaxMemoryMB = 10_000
 
-// needMB is what a rung is reckoned to take: 2 KB of heap and as much for the collector for each server that a sidecar lists.
-func (s *Spec) needMB() float64 {
+// memoryNeededMB returns the memory that a run is expected to take: 2 KB of heap, and as much for the collector, for each server that a
+// sidecar lists.
+func (s *Spec) memoryNeededMB() float64 {
 	listed := s.Servers
 	if s.Scope > 0 {
 		listed = s.Scope * ServiceSize
@@ -42,7 +44,7 @@
 	return need
 }
 
-// cost orders rungs: the dearest first.
+// cost returns the expected processor time of a run, in a unit of its own: the most expensive run starts first.
 func (s *Spec) cost() float64 {
 	listed := float64(s.Servers)
 	if s.Scope > 0 {
@@ -67,7 +69,7 @@
 
 // Rungs are the ladder's for these sizes. Sizes up to half of the target are played at rest, at load and with changes;
 // from 960 on with the other events, too; over 960 at rest and with changes, by a quarter of the sidecars.
-func Rungs(sizes []int) (list []Spec) {
+func SweepSpecs(sizes []int) (list []Spec) {
 	add := func(name string, n int, change func(s *Spec)) {
 		s := NewSpec(n)
 		change(&s)
@@ -102,7 +104,7 @@
 				}
 			}
 			add("load", n, load)
-			add("probing", n, func(s *Spec) { load(s); s.ProbePrice = LeastPrice })
+			add("probing", n, func(s *Spec) { load(s); s.ProbePrice = MinProbePrice })
 			if n < 960 {
 				continue
 			}
@@ -126,8 +128,8 @@
 	return list
 }
 
-// notPlayed are what no ladder plays, with the reason.
-var notPlayed = []string{
+// neverRun is what no sweep runs, with the reason.
+var neverRun = []string{
 	"news over 480: at 960 the hub makes 921,600 copies a second, beyond the time",
 	"view over 240: beyond the time",
 	"apart with five processes of six: five times one",
@@ -135,77 +137,101 @@
 	"a change of settings or a ban told to a running fleet, control machines, operators: there is no mechanism to play",
 }
 
-// Climb plays rungs, each in a process of its own that program starts by itself, as many side by side as there are
-// places and memory for. It gives what was played also where it fails.
-func Climb(ctx context.Context, program string, specs []Spec, costs Costs, places int, folder string, say func(string)) (*Ladder, error) {
-	began := time.Now()
-	l := &Ladder{Costs: costs, NotRun: slices.Clone(notPlayed)}
+// sweep is a sweep in progress: runs in processes of their own, limited by their number and by memory.
+type sweep struct {
+	ctx     context.Context
+	program string
+	costs   Costs
+	folder  string
+	began   time.Time
+	report  func(string) // prints a line
+
+	mu       sync.Mutex // guards the fields below
+	changed  *sync.Cond // of mu; a run has ended
+	freeRuns int
+	freeMB   float64
+	result   *SweepResult
+	errs     []error
+}
+
+// Sweep carries out runs, each in a process of its own that program starts by itself, as many at a time as maxRuns and the memory
+// allow. It returns what was run also where it fails.
+func Sweep(ctx context.Context, program string, specs []Spec, costs Costs, maxRuns int, folder string, report func(string)) (*SweepResult, error) {
+	s := &sweep{ctx: ctx, program: program, costs: costs, folder: folder, began: time.Now(), report: report,
+		freeRuns: maxRuns, freeMB: MaxMemoryMB, result: &SweepResult{Costs: costs, NotRun: slices.Clone(neverRun)}}
+	s.changed = sync.NewCond(&s.mu)
 	specs = slices.Clone(specs)
 	slices.SortStableFunc(specs, func(a, b Spec) int { return int(b.cost() - a.cost()) })
-	var mu sync.Mutex
-	turn := sync.NewCond(&mu)
-	free, room := places, float64(MemoryMB)
-	var errs []error
-	var playing sync.WaitGroup
+	var runs sync.WaitGroup
 	for len(specs) > 0 {
-		mu.Lock()
-		next := -1
-		for next < 0 {
-			if free > 0 {
-				next = slices.IndexFunc(specs, func(s Spec) bool { return s.needMB() <= room || room == MemoryMB })
-			}
-			if next < 0 {
-				turn.Wait()
-			}
-		}
-		s := specs[next]
+		next := s.reserve(specs)
+		spec := specs[next]
 		specs = slices.Delete(specs, next, next+1)
-		need := s.needMB()
-		free, room = free-1, room-need
-		mu.Unlock()
-		if ctx.Err() != nil {
-			l.NotRun = append(l.NotRun, s.Name+": the time was up")
-			mu.Lock()
-			free, room = free+1, room+need
-			mu.Unlock()
-			continue
-		}
-		playing.Add(1)
+		runs.Add(1)
 		go func() {
-			defer playing.Done()
-			r, err := RunRung(ctx, program, Order{s, costs}, filepath.Join(folder, s.Name+".json"))
-			mu.Lock()
-			defer mu.Unlock()
-			defer turn.Broadcast()
-			free, room = free+1, room+need
-			switch {
-			case err != nil && ctx.Err() != nil:
-				l.NotRun = append(l.NotRun, s.Name+": the time was up")
-			case err != nil:
-				errs = append(errs, fmt.Errorf("%s: %w", s.Name, err))
-				l.NotRun = append(l.NotRun, s.Name+": "+err.Error())
-			default:
-				l.Rungs = append(l.Rungs, *r)
-				say(fmt.Sprintf("%6.0f s  %s: %.0f s, %.0f CPU s, %.0f MB (reckoned %.0f)", time.Since(began).Seconds(), s.Name, r.Wall, r.CPU, r.PeakMB, need))
-				if len(r.Broken) > 0 {
-					errs = append(errs, fmt.Errorf("%s: %v", s.Name, r.Broken))
-				}
-			}
+			defer runs.Done()
+			s.run(&spec)
 		}()
 	}
-	playing.Wait()
-	slices.SortStableFunc(l.Rungs, func(a, b Result) int {
-		if a.Spec.Servers != b.Spec.Servers {
-			return a.Spec.Servers - b.Spec.Servers
-		}
-		return a.Spec.Scope - b.Spec.Scope
+	runs.Wait()
+	slices.SortStableFunc(s.result.Rungs, func(a, b Result) int {
+		return cmp.Or(a.Spec.Servers-b.Spec.Servers, a.Spec.Scope-b.Spec.Scope)
 	})
-	l.Seconds = time.Since(began).Seconds()
-	return l, errors.Join(errs...)
+	s.result.Seconds = time.Since(s.began).Seconds()
+	return s.result, errors.Join(s.errs...)
+}
+
+// reserve waits until one of the runs may start, and returns its index. One that needs more than all memory runs alone.
+func (s *sweep) reserve(specs []Spec) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		if s.freeRuns > 0 {
+			next := slices.IndexFunc(specs, func(spec Spec) bool { return spec.memoryNeededMB() <= s.freeMB || s.freeMB == MaxMemoryMB })
+			if next >= 0 {
+				s.freeRuns--
+				s.freeMB -= specs[next].memoryNeededMB()
+				return next
+			}
+		}
+		s.changed.Wait()
+	}
+}
+
+// run carries out a run that reserve has admitted.
+func (s *sweep) run(spec *Spec) {
+	result, err := (*Result)(nil), s.ctx.Err()
+	if err == nil {
+		result, err = RunInProcess(s.ctx, s.program, Order{*spec, s.costs}, filepath.Join(s.folder, spec.Name+".json"))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.changed.Broadcast()
+	s.freeRuns++
+	s.freeMB += spec.memoryNeededMB()
+	switch {
+	case err != nil && s.ctx.Err() != nil:
+		s.result.NotRun = append(s.result.NotRun, spec.Name+": the time was up")
+	case err != nil:
+		s.errs = append(s.errs, fmt.Errorf("%s: %w", spec.Name, err))
+		s.result.NotRun = append(s.result.NotRun, spec.Name+": "+err.Error())
+	default:
+		s.add(spec, result)
+	}
+}
+
+// add adds a result. The caller holds s.mu.
+func (s *sweep) add(spec *Spec, result *Result) {
+	s.result.Rungs = append(s.result.Rungs, *result)
+	s.report(fmt.Sprintf("%6.0f s  %s: %.0f s, %.0f CPU s, %.0f MB (expected %.0f)", time.Since(s.began).Seconds(), spec.Name,
+		result.Wall, result.CPU, result.PeakMB, spec.memoryNeededMB()))
+	if len(result.Broken) > 0 {
+		s.errs = append(s.errs, fmt.Errorf("%s: %v", spec.Name, result.Broken))
+	}
 }
 
-// RunRung has a process of its own play one rung.
-func RunRung(ctx context.Context, program string, order Order, file string) (*Result, error) {
+// RunInProcess carries out one run in a process of its own.
+func RunInProcess(ctx context.Context, program string, order Order, file string) (*Result, error) {
 	if err := order.Spec.Validate(); err != nil {
 		return nil, err
 	}
