--- a/cmd/sidecar/limits_test.go
+++ b/cmd/sidecar/limits_test.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"bramblestand/internal/endpointtest"
 )
 
 // While discovery is down, idle clients take all the connections that the program lets them have, and new ones keep coming: a
@@ -28,7 +30,7 @@
 		`"sockets":1024`, fmt.Sprintf(`"sockets":%d`, descriptors),
 		`"limits":{"keepalive"`, `"limits":{"probes":true,"keepalive"`).Replace(newConfigText(listen)))
 	cmd.Path, cmd.Args = "/bin/sh", []string{"sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, descriptors), os.Args[0]}
-	log := &lockedBuffer{}
+	log := &endpointtest.LogBuffer{}
 	cmd.Stderr = log
 	startProgram(t, cmd)
 	waitUntil(t, "the program to be ready", func() bool { return isReady(listen) })
--- a/cmd/sidecar/program_test.go
+++ b/cmd/sidecar/program_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -11,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -119,24 +117,6 @@
 	return server.Listener.Addr().String(), healthChecks, requests
 }
 
-// lockedBuffer is a log that a test may read while the program writes it.
-type lockedBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
-
 // waitLimit is how long a test waits for anything.
 const waitLimit = 20 * time.Second
 
--- a/internal/endpointtest/endpointtest.go
+++ b/internal/endpointtest/endpointtest.go
@@ -110,6 +110,18 @@
 	}
 }
 
+// HoldPath writes OKResponse to every request, to those whose path begins with prefix once release is closed.
+func HoldPath(prefix string, release <-chan struct{}) Handler {
+	return func(s *Server, conn net.Conn, in *bufio.Reader) {
+		for r := s.ReadRequest(in); r != nil; r = s.ReadRequest(in) {
+			if strings.HasPrefix(r.RequestURI, prefix) {
+				<-release
+			}
+			io.WriteString(conn, OKResponse)
+		}
+	}
+}
+
 // Silent reads requests and never responds.
 func Silent(s *Server, conn net.Conn, in *bufio.Reader) {
 	for s.ReadRequest(in) != nil {
--- a/internal/lab/scale/sweep.go
+++ b/internal/lab/scale/sweep.go
@@ -67,8 +67,8 @@
 	return c
 }
 
-// Rungs are the ladder's for these sizes. Sizes up to half of the target are played at rest, at load and with changes;
-// from 960 on with the other events, too; over 960 at rest and with changes, by a quarter of the sidecars.
+// SweepSpecs returns the runs of a sweep over these sizes. Sizes up to half of the target are run at rest, at load and with changes;
+// from 960 on with the other events, too; over 960 at rest and with changes, with a quarter of the sidecars.
 func SweepSpecs(sizes []int) (list []Spec) {
 	add := func(name string, n int, change func(s *Spec)) {
 		s := NewSpec(n)
--- a/internal/sidecar/client_conn_idle_test.go
+++ b/internal/sidecar/client_conn_idle_test.go
@@ -1,11 +1,7 @@
 package sidecar
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -22,14 +18,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			release := make(chan struct{})
-			e := endpointtest.NewServer(t, func(e *endpointtest.Server, conn net.Conn, in *bufio.Reader) {
-				for r := e.ReadRequest(in); r != nil; r = e.ReadRequest(in) {
-					if strings.HasPrefix(r.RequestURI, "/pay") {
-						<-release
-					}
-					io.WriteString(conn, endpointtest.OKResponse)
-				}
-			})
+			e := endpointtest.NewServer(t, endpointtest.HoldPath("/pay", release))
 			w := startSidecar(t, nil, readyEndpoint("s-1", e.Address))
 			w.await("no connection", func() bool { return w.server.clients.count() == 0 })
 			k := w.connect()
--- a/internal/sidecar/rejections_test.go
+++ b/internal/sidecar/rejections_test.go
@@ -1,39 +1,19 @@
 package sidecar
 
 import (
-	"bytes"
 	"log/slog"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"bramblestand/internal/endpointtest"
 )
 
-// lockedBuffer is a log that may be read while it is written.
-type lockedBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
-
 // The log names the reason of each rejection and when the client is to come again, and counts rejections by reason.
 func TestLogNamesTheReasonOfARejection(t *testing.T) {
 	e := endpointtest.NewServer(t, endpointtest.Always(endpointtest.RejectedResponse))
-	log := &lockedBuffer{}
+	log := &endpointtest.LogBuffer{}
 	w := &testSidecar{t: t, registry: newFakeRegistry(t, readyEndpoint("s-1", e.Address)), log: slog.NewTextHandler(log, nil)}
 	w.launch(newTestConfig(t, w.registry.address, nil, readyEndpoint("s-1", e.Address)))
 	w.await("the list", func() bool { return w.loop.hasEndpoints.Load() })
--- a/internal/sidecar/shutdown_test.go
+++ b/internal/sidecar/shutdown_test.go
@@ -18,14 +18,7 @@
 // ends without an error.
 func TestShutdownServesWhatWasAccepted(t *testing.T) {
 	respond := make(chan struct{})
-	e := endpointtest.NewServer(t, func(e *endpointtest.Server, conn net.Conn, in *bufio.Reader) {
-		for r := e.ReadRequest(in); r != nil; r = e.ReadRequest(in) {
-			if strings.HasPrefix(r.RequestURI, "/pay") {
-				<-respond
-			}
-			io.WriteString(conn, endpointtest.OKResponse)
-		}
-	})
+	e := endpointtest.NewServer(t, endpointtest.HoldPath("/pay", respond))
 	w := startSidecar(t, nil, readyEndpoint("s-1", e.Address))
 	w.server.acceptDuration = 3 * time.Second // a loaded machine may be slow to connect
 	idle := w.dial()
