Wait 4 s for changes, so that a silent watch is noticed in 5 s and not in 21

Cause: the watch's call waited 20 s, so one that fell silent was given up after 21. Until then sidecars sent to endpoints that a release had drained, which reject, or ended, which refuse connections; the rest was rejected for predicted latency.

4 s and the second that a call is given leave a second of the 6 s after which a change counts as known after a watch's silence.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -17,8 +17,9 @@
 	// CallTimeout bounds a call that does not wait for changes, and connecting: discovery
 	// answers calls in turn, and a later one may succeed.
 	CallTimeout = 4 * time.Second
-	// MaxWait is how long a call may wait for changes.
-	MaxWait = 20 * time.Second
+	// MaxWait is how long a call may wait for changes. A watch that has fallen silent is only noticed waitGrace after its wait, and
+	// what it misses counts as known 6 s after that, whatever it waits for.
+	MaxWait = 4 * time.Second
 
 	// By the protocol a sidecar is expected to know a change 2 s after the end of a wait, whether the
 	// answer arrived or not: this leaves a second to call again.
--- a/internal/discovery/golden_test.go
+++ b/internal/discovery/golden_test.go
@@ -99,7 +99,7 @@
 		{"the full list, whatever the wait", nil, discovery.MaxWait, httpAnswer(empty), "GET /registry/instances", "", false},
 		{"from version 0 on", &versionZero, 0, httpAnswer(empty), "GET /registry/instances?after=0&wait_ms=0", "", false},
 		{"first call of a watch", &knownVersion, 0, httpAnswer(empty), "GET /registry/instances?after=41&wait_ms=0", "", false},
-		{"next call of a watch", &knownVersion, discovery.MaxWait, httpAnswer(empty), "GET /registry/instances?after=41&wait_ms=20000", "", false},
+		{"next call of a watch", &knownVersion, discovery.MaxWait, httpAnswer(empty), "GET /registry/instances?after=41&wait_ms=4000", "", false},
 		{"an older delta", &knownVersion, 0, httpAnswer(`{"seq":40,"whole":false,"hosts":[]}`),
 			"GET /registry/instances?after=41&wait_ms=0", "discovery's answer: seq: changes of an older version: 40 after 41", true},
 		{"an older full list", &knownVersion, 0, httpAnswer(`{"seq":40,"whole":true,"hosts":[]}`),
