Mend a race in the simulated network of the membership tests

go test -race ./internal/membership failed in 1 of 15 whole runs: a node's address was read without the network's lock when a datagram arrived, while TestMembersJoinFailLeaveAndReturn changed it. The same run then crashed in the race detector's own code (__sanitizer::StackDepotBase::Put, from the runtime's synctest.Run): that is shown now, and not mended.

The address is read under the lock at the send, and changed under it; the checks are the same.

--- a/internal/membership/agent_test.go
+++ b/internal/membership/agent_test.go
@@ -74,12 +74,14 @@
 		if crashed, left := stateAt(7, "s3"), stateAt(7, "s4"); crashed != StateFailed || left != StateLeft {
 			t.Errorf("the crashed member is %v, the one that left is %v", crashed, left)
 		}
-		s.nodes[3].address, s.nodes[4].address = s.nodes[4].address, s.nodes[3].address
+		first, second := s.nodes[3].address, s.nodes[4].address
+		s.setAddress(s.nodes[3], second)
+		s.setAddress(s.nodes[4], first)
 		s.nodes[3].start(Options{})
 		s.nodes[4].start(Options{})
 		s.awaitStable("both returned, each at the other's address", s.runningNodes(nil), stableTimeout)
 		s.nodes[5].stop(false)
-		s.nodes[5].address = netip.MustParseAddrPort("10.9.9.9:1")
+		s.setAddress(s.nodes[5], netip.MustParseAddrPort("10.9.9.9:1"))
 		s.nodes[5].start(Options{}) // before any member knows of the crash
 		s.awaitStable("returned at once at another address", s.runningNodes(nil), stableTimeout)
 		knowsNewAddress := func(n *simulatedNode) bool {
--- a/internal/membership/simulation_test.go
+++ b/internal/membership/simulation_test.go
@@ -91,7 +91,8 @@
 		}
 		received := append([]byte(nil), data...)
 		delay := time.Duration(s.random.Int64N(int64(s.impairment.delay) + 1))
-		time.AfterFunc(delay, func() { receiver.Deliver(from.address, received) })
+		source := from.address // networkMu is held now, and not when the datagram arrives
+		time.AfterFunc(delay, func() { receiver.Deliver(source, received) })
 	}
 	return nil
 }
@@ -101,6 +102,13 @@
 	return slices.IndexFunc(s.nodes, func(n *simulatedNode) bool { return n.address == address })
 }
 
+// setAddress moves a node that does not run.
+func (s *simulation) setAddress(n *simulatedNode, address netip.AddrPort) {
+	s.networkMu.Lock()
+	defer s.networkMu.Unlock()
+	n.address = address
+}
+
 // setNetwork changes the network's faults.
 func (s *simulation) setNetwork(isCut func(from, to int) bool, impairment impairment) {
 	s.networkMu.Lock()
