review: case 3, a long request to a pin server that hangs is held for 10 s

Claim: while the body of a request over 64 KiB is sent on, no deadline of the request is in force, only a limit of 10 s for each write.

--- /dev/null
+++ b/review/3/case_test.go
@@ -0,0 +1,9 @@
+package main
+
+import (
+	"testing"
+
+	"bramblestand/review/casetest"
+)
+
+func TestLongRequestsAreAnswered(t *testing.T) { casetest.Run(t) }
