--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,5 +1,5 @@
-// Command 3 plays a short day on which half of the pin servers hang for some seconds while some requests are
-// long, and checks that every request that was written whole gets a final answer at the latest half a second after its time.
+// Command 3 plays a short day on which half of the pin servers hang for some seconds, and later the other half, while some requests
+// are long. It checks that every request that was written whole gets a final answer at the latest half a second after its time.
 package main
 
 import (
@@ -16,15 +16,13 @@
 	servers  = 20
 	sidecars = 2
 	rate     = 60 // requests per second
-	duration = 24 * time.Second
+	duration = 42 * time.Second
 
 	longShare = 0.5     // of the requests
 	minLong   = 9 << 19 // bytes
 	maxLong   = 8 << 20
 
-	hangsAfter = 6 * time.Second
-	hangsFor   = 12 * time.Second
-	hangShare  = 2 // one of so many
+	hangsFor = 12 * time.Second
 
 	// grace is how long after its time a request may get its final answer: half a second, and 50 ms as all limits on sockets.
 	grace = 550 * time.Millisecond
@@ -32,6 +30,9 @@
 	look = 20 * time.Second
 )
 
+// hangsAt are the times at which one half of the pin servers begins to hang, and the other half.
+var hangsAt = [2]time.Duration{5 * time.Second, 25 * time.Second}
+
 func main() { world.Main(110*time.Second, run) }
 
 func run(o world.Options) (int, error) {
@@ -40,19 +41,20 @@
 		return 0, err
 	}
 	defer fleet.Close()
-	var hangs atomic.Bool
+	var hangs [2]atomic.Bool
 	for i, s := range fleet.Servers {
 		s.Work = func() time.Duration { return time.Duration(60+rand.IntN(80)) * time.Millisecond }
-		if i%hangShare == 0 {
-			s.Hangs = hangs.Load
-		}
+		s.Hangs = hangs[i%2].Load
 	}
 	if err := fleet.Start(sidecars, world.Settings()); err != nil {
 		return 0, err
 	}
-	if o.Trouble {
-		time.AfterFunc(hangsAfter, func() { fleet.Record.Say("one of %d pin servers hangs", hangShare); hangs.Store(true) })
-		time.AfterFunc(hangsAfter+hangsFor, func() { fleet.Record.Say("they go on"); hangs.Store(false) })
+	for half, at := range hangsAt {
+		if !o.Trouble {
+			break
+		}
+		time.AfterFunc(at, func() { fleet.Record.Say("half of the pin servers hang"); hangs[half].Store(true) })
+		time.AfterFunc(at+hangsFor, func() { fleet.Record.Say("they go on"); hangs[half].Store(false) })
 	}
 	var mu sync.Mutex
 	answered, unwritten, late, wrong := 0, 0, 0, 0
