--- a/review/world/client.go
+++ b/review/world/client.go
@@ -27,7 +27,6 @@
 // Request is a request of a client.
 type Request struct {
 	ID, Key, Tenant string
-	Class           string
 	Subject         string // of X-Session-Key; may be empty
 	TimeLeft        time.Duration
 	Body            []byte
@@ -97,9 +96,9 @@
 		defer c.mu.Unlock()
 		c.idle = append(c.idle, conn)
 	}()
-	head := fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: %s\r\nX-Service-Class: %s\r\n"+
+	head := fmt.Sprintf("POST /save-pins HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: %s\r\nX-Service-Class: save-pins\r\n"+
 		"X-Account: %s\r\nX-Session-Key: %s\r\nX-Time-Left-Ms: %d\r\nIdempotency-Key: %s\r\nContent-Length: %d\r\n\r\n",
-		r.Class, r.ID, r.Class, r.Tenant, r.Subject, r.TimeLeft.Milliseconds(), r.Key, len(r.Body))
+		r.ID, r.Tenant, r.Subject, r.TimeLeft.Milliseconds(), r.Key, len(r.Body))
 	conn.SetDeadline(time.Now().Add(20 * time.Second)) // far beyond the time in which a whole request is written
 	answer.BegunAt = time.Now()
 	_, err := conn.Write(append([]byte(head), r.Body...))
--- a/review/world/fleet.go
+++ b/review/world/fleet.go
@@ -133,7 +133,7 @@
 			break
 		}
 		r := Request{ID: fmt.Sprintf("%016x", f.Random.Uint64()), Key: fmt.Sprintf("%016x%016x", f.Random.Uint64(), f.Random.Uint64()),
-			Class: "save-pins", Tenant: Tenants[f.Random.IntN(len(Tenants))], Subject: fmt.Sprintf("%016x", f.Random.IntN(2000)),
+			Tenant: Tenants[f.Random.IntN(len(Tenants))], Subject: fmt.Sprintf("%016x", f.Random.IntN(2000)),
 			TimeLeft: 2 * time.Second, Wait: 4 * time.Second, Body: make([]byte, 100+f.Random.IntN(400))}
 		change(&r)
 		client := f.Random.IntN(len(f.Clients))
--- a/review/world/server.go
+++ b/review/world/server.go
@@ -23,12 +23,6 @@
 	Host   Host
 	Work   func() time.Duration // time that one request takes
 	Answer func(c *ServerConn, id string) (keep bool)
-	// OnArrival is called when the last byte of a request has arrived.
-	OnArrival func(id, key string)
-	// IdleTimeout is how long an idle connection stays open.
-	IdleTimeout time.Duration
-	// Late is the server's address; it has late phases once a case begins them.
-	Late *LateListener
 	// Known reports whether a client has sent this id.
 	Known func(id string) bool
 	// Hangs reports whether the process hangs: it neither reads nor writes meanwhile. Nil if it never hangs.
@@ -50,11 +44,11 @@
 
 // StartPinServer starts a server that works with the defaults until its fields are changed, which has to happen before traffic.
 func StartPinServer(record *Record, index int, zone string, pod int) (*PinServer, error) {
-	listener, err := ListenLate()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &PinServer{record: record, listener: listener, Late: listener, IdleTimeout: time.Minute, OnArrival: func(string, string) {}, busy: make(chan struct{}, slots), conns: map[net.Conn]bool{}}
+	s := &PinServer{record: record, listener: listener, busy: make(chan struct{}, slots), conns: map[net.Conn]bool{}}
 	s.Host = Host{Name: fmt.Sprintf("s-%08x", 0x5be20000+index), Address: listener.Addr().String(), Zone: zone, Kind: "std-4",
 		Pod: pod, Health: "Ready", Share: 1}
 	s.Answer = func(c *ServerConn, id string) bool { return c.WriteAnswer(s.Body(id)) }
@@ -118,11 +112,6 @@
 	}()
 	reader := bufio.NewReader(hangingReader{c})
 	for {
-		c.SetReadDeadline(time.Now().Add(s.IdleTimeout))
-		if _, err := reader.Peek(1); err != nil {
-			return
-		}
-		c.SetReadDeadline(time.Time{})
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -152,7 +141,6 @@
 		s.record.Add("unknown   %s at %s", id, s.Host.Name)
 		return c.writeStatus("400 Bad Request")
 	}
-	s.OnArrival(id, request.Header.Get("Idempotency-Key"))
 	s.held.Add(1)
 	s.busy <- struct{}{}
 	s.record.Add("ran       %s at %s, left %s ms", id, s.Host.Name, request.Header.Get("X-Time-Left-Ms"))
@@ -173,11 +161,3 @@
 	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", status)
 	return err == nil
 }
-
-// Reset resets the connection.
-func (c *ServerConn) Reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		tcp.SetLinger(0)
-	}
-	c.Conn.Close()
-}
