Keep a request's deadline until its response is known to be too long to buffer

Cause: after responseBufferTime (50 ms) a response of unknown length became a stream, and liftDeadline dropped the request's deadline as for one that is known to be over 64 KiB. From there on only maxEndpointStall (10 s for each read) was in force, and any byte starts that time anew.

Evidence: a second cause would look the same, that the attempt ends at its deadline but the client's goroutine does not learn of it. Then "attempt not served" comes at the deadline with outcome timeout and "response broken off" later. The log has both in the same millisecond, 10 s after the last byte, with an i/o timeout of the read from the endpoint, so the deadline was gone. "response broken off" now carries a duration, which shows this without the client's record.

The stream still starts after 50 ms. At the deadline the response is broken off so that the client can tell, and the attempt counts as a timeout, where it counted as cancelled.

Paths: a length of 64 KiB or less, other statuses, interim responses, load probes: no fault. No length, in chunks or until a close, at any pace, and the same after an upload: the fault. A shutdown waited for such responses: the same fault. A retry is never made once a response has begun: no fault.

--- a/internal/sidecar/request_handler.go
+++ b/internal/sidecar/request_handler.go
@@ -194,7 +194,8 @@
 	err := forwardResponse(e.writer, e.controller, response.body, response.stream)
 	response.stream.End(err)
 	if err != nil {
-		e.logRequest("response broken off", "error", err)
+		duration := time.Duration(e.loop.clock.now()-e.arrived) * time.Microsecond
+		e.logRequest("response broken off", "duration", duration, "error", err)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/sidecar/response_stream_test.go
+++ b/internal/sidecar/response_stream_test.go
@@ -10,6 +10,7 @@
 	"net/http/httputil"
 	"runtime"
 	"runtime/metrics"
+	"strings"
 	"testing"
 	"time"
 
@@ -215,3 +216,147 @@
 	}
 	s.expectCleanEnd()
 }
+
+// endlessResponse writes the start of a response of unknown length, and from then on one byte in each interval, or nothing if the
+// interval is 0, until the sidecar closes the connection.
+func endlessResponse(isChunked bool, start []byte, interval time.Duration) endpointtest.Handler {
+	return func(e *endpointtest.Server, conn net.Conn, in *bufio.Reader) {
+		if e.ReadRequest(in) == nil {
+			return
+		}
+		head, body := "HTTP/1.1 200 OK\r\n\r\n", io.Writer(conn)
+		if isChunked {
+			head, body = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", httputil.NewChunkedWriter(conn)
+		}
+		io.WriteString(conn, head)
+		body.Write(start)
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			in.ReadByte()
+		}()
+		var tick <-chan time.Time
+		if interval > 0 {
+			ticker := time.NewTicker(interval)
+			defer ticker.Stop()
+			tick = ticker.C
+		}
+		for {
+			select {
+			case <-tick:
+				body.Write([]byte("."))
+			case <-closed:
+				return
+			}
+		}
+	}
+}
+
+// maxLateness is how long after its deadline a request may still get its final response (the operators' half a second, and 50 ms for
+// time limits on sockets).
+const maxLateness = 550 * time.Millisecond
+
+// A response of unknown length that may still be short at the request's deadline is broken off then, whatever its framing and pace,
+// and during a shutdown as well. Guards against clients that wait for the end of an endless response, and endpoints that are not
+// held responsible for it.
+func TestResponseOfUnknownLengthEndsByItsDeadline(t *testing.T) {
+	const timeLeft = 400 * time.Millisecond
+	for _, c := range []struct {
+		name       string
+		length     int // of the start of the body
+		interval   time.Duration
+		upload     int // bytes of the request's body
+		isShutDown bool
+	}{
+		{"only a head", 0, 0, 0, false},
+		{"silent", 20, 0, 0, false},
+		{"slow", 20, 20 * time.Millisecond, 0, false},
+		{"with as much as a short one may have", upstream.MaxBufferedBody, 0, 0, false},
+		{"silent after an upload", 20, 0, 2 * upstream.MaxBufferedBody, false},
+		{"slow after an upload", 20, 20 * time.Millisecond, 2 * upstream.MaxBufferedBody, false},
+		{"silent during a shutdown", 20, 0, 0, true},
+		{"slow during a shutdown", 20, 20 * time.Millisecond, 0, true},
+	} {
+		for _, isChunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %t", c.name, isChunked), func(t *testing.T) {
+				t.Parallel()
+				e := endpointtest.NewServer(t, endlessResponse(isChunked, bytes.Repeat([]byte("x"), c.length), c.interval))
+				s := startSidecar(t, nil, readyEndpoint("s-1", e.Address))
+				s.server.acceptDuration = 0
+				client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: testTimeout}
+				start := time.Now()
+				response, err := client.Do(s.request("pay", strings.Repeat("x", c.upload), timeLeft))
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer response.Body.Close()
+				if c.isShutDown {
+					s.stop()
+				}
+				n, err := io.Copy(io.Discard, response.Body)
+				if took := time.Since(start); response.StatusCode == http.StatusOK && err == nil || took > timeLeft+maxLateness {
+					t.Errorf("status code %d, %d bytes, error %v after %v; want an incomplete response within %v", response.StatusCode, n, err,
+						took, timeLeft+maxLateness)
+				}
+				s.await("its outcome", func() bool { return len(s.recorder.statuses()) == 1 })
+				if got := s.recorder.statuses()[0]; got != balancer.Timeout {
+					t.Errorf("the attempt counts as %v, want timeout", got)
+				}
+				if c.isShutDown {
+					s.expectCleanEnd()
+				}
+			})
+		}
+	}
+}
+
+// A response that is too long to be buffered, and whose start came in time, is forwarded to its end although it ends long after the
+// request's deadline. Guards against a deadline that cuts off long responses.
+func TestLongResponseMayOutlastTheDeadline(t *testing.T) {
+	const timeLeft, pause, pieces = 300 * time.Millisecond, 100 * time.Millisecond, 8
+	for _, c := range []struct {
+		name, head string
+		inTime     int64 // bytes of the body that come at once
+		isChunked  bool
+	}{
+		{"with a length", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", longBodyLength), 0, false},
+		{"in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", upstream.MaxBufferedBody + 1, true},
+		{"until a close", "HTTP/1.1 200 OK\r\n\r\n", upstream.MaxBufferedBody + 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			e := endpointtest.NewServer(t, func(e *endpointtest.Server, conn net.Conn, in *bufio.Reader) {
+				if e.ReadRequest(in) == nil {
+					return
+				}
+				io.WriteString(conn, c.head)
+				body := io.Writer(struct{ io.Writer }{conn})
+				if c.isChunked {
+					body = httputil.NewChunkedWriter(conn)
+				}
+				source := &patternReader{end: longBodyLength}
+				io.CopyN(body, source, c.inTime)
+				for range pieces {
+					time.Sleep(pause)
+					io.CopyN(body, source, longBodyLength/pieces)
+				}
+				if c.isChunked {
+					io.WriteString(conn, "0\r\n\r\n")
+				}
+			})
+			s := startSidecar(t, nil, readyEndpoint("s-1", e.Address))
+			response, err := http.DefaultClient.Do(s.request("read", "", timeLeft))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			if got, want := digest(t, response.Body), digest(t, &patternReader{end: longBodyLength}); got != want {
+				t.Errorf("the client got %s, want %s", got, want)
+			}
+			s.await("its outcome", func() bool { return len(s.recorder.statuses()) == 1 })
+			if got := s.recorder.statuses()[0]; got != balancer.OK {
+				t.Errorf("the attempt counts as %v", got)
+			}
+		})
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -67,12 +68,12 @@
 	return nil
 }
 
-// wrapIfDeadlinePassed wraps an error with errDeadlineExceeded if the clock is past the deadline of ctx. The balancer has its own
+// wrapIfDeadlinePassed wraps an error with errDeadlineExceeded, once, if the clock is past the deadline of ctx. The balancer has its own
 // timer for the same deadline and may have cancelled the attempt first. A status of Cancelled instead of Timeout would hide from
 // the balancer that the endpoint did not respond.
 func wrapIfDeadlinePassed(ctx context.Context, err error) error {
 	deadline, ok := ctx.Deadline()
-	if err == nil || !ok || time.Now().Before(deadline) {
+	if err == nil || !ok || time.Now().Before(deadline) || errors.Is(err, errDeadlineExceeded) {
 		return err
 	}
 	return fmt.Errorf("%w: %w", errDeadlineExceeded, err)
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -60,7 +60,9 @@
 }
 
 // readOrStream reads the body of a response. A body that is too long to be buffered, or that has no length and does not end
-// within responseBufferTime, is streamed: then readOrStream waits for the end of the stream and returns a nil body.
+// within responseBufferTime, is streamed: then readOrStream waits for the end of the stream and returns a nil body. The request's
+// deadline limits the whole response, unless the body is too long to be buffered: then it limits the time to the start of the
+// stream or, without a length, to the first byte beyond MaxBufferedBody.
 func (e *exchange) readOrStream(response *http.Response) ([]byte, error) {
 	e.limitRead(math.MaxInt64) // buffering has its own limit; this one would also count the framing of small chunks
 	body, stream, err := e.bufferOrStream(response)
@@ -95,35 +97,38 @@
 }
 
 // bufferOrStreamUnknownLength is bufferOrStream for a body of unknown length. It starts a stream if the body has not ended
-// within responseBufferTime. That time may pass during a read, and a body's reader is unusable after an interrupted read.
-// Therefore the read continues, and its result and the rest of the body reach the client's goroutine through a pipe.
+// within responseBufferTime, or once the body is too long to be buffered. That time may pass during a read, and a body's reader
+// is unusable after an interrupted read. Therefore the read continues, and its result and the rest of the body reach the
+// client's goroutine through a pipe.
 func (e *exchange) bufferOrStreamUnknownLength(response *http.Response) (body []byte, stream *ResponseStream, err error) {
 	var pipe *io.PipeWriter
 	e.conn.onReadTimeout = func() bool {
-		if e.ctx.Err() != nil || !e.liftDeadline() {
+		if e.ctx.Err() != nil {
 			return false
 		}
 		var remainder *io.PipeReader
 		remainder, pipe = io.Pipe()
 		stream = e.startStream(response, body, remainder)
+		e.conn.setDeadline(e.ctx, time.Time{}) // e.ctx still ends at the request's deadline
 		return true
 	}
 	e.conn.setDeadline(e.ctx, time.Now().Add(responseBufferTime))
+	reader := &undecidedReader{exchange: e, response: response}
 	buffer := bodybuffer.Get()
 	defer bodybuffer.Put(buffer)
-	for len(body) < MaxBufferedBody {
-		n, err := response.Body.Read(buffer[:])
+	for len(body) <= MaxBufferedBody {
+		n, err := reader.Read(buffer[:])
 		if stream != nil {
-			return nil, stream, copyToPipe(pipe, e.remainder(response), buffer, n, err)
+			return nil, stream, copyToPipe(pipe, reader, buffer, n, err)
 		}
 		body = append(body, buffer[:n]...)
 		if err != nil {
 			e.conn.onReadTimeout = nil
 		}
-		if err == io.EOF {
+		if err == io.EOF && len(body) <= MaxBufferedBody {
 			return body, nil, nil
 		}
-		if err != nil {
+		if err != nil && err != io.EOF {
 			return nil, nil, err
 		}
 	}
@@ -134,9 +139,37 @@
 	return nil, e.startStream(response, body, io.NopCloser(e.remainder(response))), nil
 }
 
+// undecidedReader reads a body of unknown length. The end of a short response is due by the request's deadline, and any response
+// may turn out to be short until more than MaxBufferedBody bytes of it have been read. Until then the deadline limits the reads.
+type undecidedReader struct {
+	exchange  *exchange
+	response  *http.Response
+	bytesRead int       // of the body
+	remainder io.Reader // reads the rest of a body that is too long to be buffered; nil until that is known
+}
+
+// Read implements io.Reader.
+func (r *undecidedReader) Read(p []byte) (int, error) {
+	if r.remainder == nil && r.bytesRead > MaxBufferedBody {
+		if !r.exchange.liftDeadline() {
+			return 0, r.exchange.ctx.Err()
+		}
+		r.remainder = r.exchange.remainder(r.response)
+	}
+	if r.remainder != nil {
+		return r.remainder.Read(p)
+	}
+	n, err := r.response.Body.Read(p)
+	r.bytesRead += n
+	if err != nil && err != io.EOF {
+		err = wrapIfDeadlinePassed(r.exchange.ctx, err)
+	}
+	return n, err
+}
+
 // copyToPipe writes the result of a read (n bytes of the buffer, and err) and then the rest of the body to a pipe. It returns
 // the body's read error. If the pipe's reader was closed first, it returns nil: ResponseStream.End reports the reason.
-func copyToPipe(pipe *io.PipeWriter, body io.Reader, buffer *bodybuffer.Buffer, n int, err error) error {
+func copyToPipe(pipe *io.PipeWriter, rest io.Reader, buffer *bodybuffer.Buffer, n int, err error) error {
 	for {
 		if _, writeErr := pipe.Write(buffer[:n]); writeErr != nil {
 			return nil
@@ -149,7 +182,7 @@
 			pipe.CloseWithError(err)
 			return err
 		}
-		n, err = body.Read(buffer[:])
+		n, err = rest.Read(buffer[:])
 	}
 }
 
@@ -169,8 +202,8 @@
 	return stream
 }
 
-// liftDeadline removes the request's deadline, which limits only the time to the start of a streamed response. From then on
-// maxEndpointStall limits each read. It returns false if the exchange's context has already ended.
+// liftDeadline removes the request's deadline, which does not limit the rest of a response that is too long to be buffered. From
+// then on maxEndpointStall limits each read. It returns false if the exchange's context has already ended.
 func (e *exchange) liftDeadline() bool {
 	if !e.unwatchContext() {
 		return false
