Hold a request with a long body to its deadline while an endpoint takes the body

Cause: while a body over 64 KiB was forwarded, no deadline of the request was in force but maxEndpointStall, 10 s for each write; and its time began when the endpoint's side had taken the last byte (attempt.bodySent), not when the client had written it. The buffers of the system between the two hold about 8 MB here.

Evidence: a second cause would look the same, that the whole body is in the buffers towards the endpoint and only the deadline begun there is late. Then the log has outcome timeout, a read error and 1.99 s; the 502s have this. The 503s have "connect failed", "write tcp ...: i/o timeout" and 10.0 s. The late 200s show that the time also began late.

Change: an upload has a deadline from its start on. It limits dials, writes and the wait for the response, and moves on while it is certain that the client has not written everything (lastByteBound): a read waited for input, or more of the body is missing than both sockets can hold. A write whose deadline has moved meanwhile goes on. At the deadline the write ends, so the request surely never ran, counts against the endpoint and is answered 503. An endpoint is told what is left.

Paths: buffered bodies start their time when they have been read, which waits for nobody: no fault. Bodies with a length and in chunks, to endpoints that hang or take a little now and then: the fault. Dials and retries of such requests: the same, and a retry told the endpoint the client's whole timeout. The shutdown: the same, 10 s where SIGKILL comes after 3.7 s. The wait for load probes is at most a quarter of the time: no fault.

--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -11,7 +11,7 @@
 )
 
 // StartAttempt starts an attempt in its own goroutine. The attempt ends at the request's deadline, or after timeout if that is
-// positive and earlier. If the request body is streamed, the deadline that bodySent returns applies instead.
+// positive and earlier. If the request body is streamed, the deadline of its upload applies instead.
 func (l *eventLoop) StartAttempt(id uint64, endpoint uint32, timeout balancer.Micros) {
 	r := l.requests[id]
 	now := l.clock.now()
@@ -46,7 +46,7 @@
 
 	ctx      context.Context // ends when the attempt is canceled; has no deadline
 	cancel   context.CancelFunc
-	deadline balancer.Micros // if the request body is buffered; for a streamed body, see bodySent
+	deadline balancer.Micros // if the request body is buffered; for a streamed body, see upload.Deadline
 
 	startedAt   balancer.Micros // latency is measured from here: the start, or the last byte of a streamed request body
 	respondedAt balancer.Micros // when a streamed response started; 0 if none did
@@ -99,16 +99,13 @@
 	return a.unwatchClient() && !a.request.isClientDisconnected()
 }
 
-// bodySent records that the last byte of a streamed request body was sent. It returns the request's deadline, which is timeLeft
-// from now.
-func (a *attempt) bodySent() time.Time {
+// bodySent records that the last byte of a streamed request body was sent, and the request's deadline.
+func (a *attempt) bodySent(deadline time.Time) {
 	a.startedAt = a.loop.clock.now()
-	deadline := a.startedAt + a.request.timeLeft
 	a.loop.post(func(now balancer.Micros) {
-		a.request.deadline = deadline
+		a.request.deadline = a.loop.clock.micros(deadline)
 		a.loop.bodySent(now, a.request)
 	})
-	return a.loop.clock.wallTime(deadline)
 }
 
 // startResponse gives the client the beginning of a streamed response. The rest is read only for this client, so from here on a
--- a/internal/sidecar/clock.go
+++ b/internal/sidecar/clock.go
@@ -16,6 +16,11 @@
 	return c.start.UnixMicro() + time.Since(c.start).Microseconds()
 }
 
+// micros converts a time.Time to a time of this clock.
+func (c clock) micros(at time.Time) balancer.Micros {
+	return c.start.UnixMicro() + at.Sub(c.start).Microseconds()
+}
+
 // wallTime converts a time of this clock to a time.Time, for deadlines.
 func (c clock) wallTime(at balancer.Micros) time.Time {
 	return c.start.Add(time.Duration(at-c.start.UnixMicro()) * time.Microsecond)
--- /dev/null
+++ b/internal/sidecar/last_byte_bound.go
@@ -0,0 +1,122 @@
+package sidecar
+
+import (
+	"time"
+
+	"bramblestand/internal/socket"
+)
+
+const (
+	// httpReadBuffer is the size in bytes of the buffer through which net/http reads a connection.
+	httpReadBuffer = 4 << 10
+	// sampleInterval is how many bytes of a body of unknown length are read between two samples.
+	sampleInterval = 1 << 20
+)
+
+const (
+	// backlogSize is how many unread bytes may be a sign that the client's machine holds back more: half of the smallest receive
+	// window.
+	backlogSize = 32 << 10
+	// settleTime is how long after a backlog input that the client's machine held back may still be on its way.
+	settleTime = 5 * time.Millisecond
+)
+
+// inputWaits records when a client had sent none of the input that was read later. Input that arrives in an empty socket was just
+// sent, unless the client's machine had held it back because the socket was full.
+type inputWaits struct {
+	lastAt    time.Time
+	backlogAt time.Time // when a read last found a backlog
+	isBegun   bool      // a read found no input
+}
+
+// begin records that a read found no input.
+func (w *inputWaits) begin() { w.isBegun = true }
+
+// end records that input was read at now, and whether it was part of a backlog.
+func (w *inputWaits) end(now time.Time, hasBacklog bool) {
+	if w.isBegun && now.Sub(w.backlogAt) >= settleTime {
+		w.lastAt = now
+	}
+	w.isBegun = false
+	if hasBacklog {
+		w.backlogAt = now
+	}
+}
+
+// hasBacklog reports whether a socket of which n bytes were just read had a backlog. It returns true if that is not known.
+func hasBacklog(fd uintptr, n int) bool {
+	unread, ok := socket.UnreadBytes(fd)
+	return !ok || int64(n)+unread >= backlogSize
+}
+
+// uploadInput tells how a client's input arrives.
+type uploadInput interface {
+	// inputAwaitedAt returns the last time at which the client had sent none of the input that was read later.
+	inputAwaitedAt() time.Time
+	// unreadBytes returns how many bytes of input have arrived and were not read; ok is false if that is not known.
+	unreadBytes() (n int64, ok bool)
+}
+
+// lastByteBound is a lower bound of the time at which a client sent the last byte of a body. The time to the request's deadline
+// starts with that byte. If the endpoint takes the body slowly, the byte may wait in the system's buffers long before it is read.
+//
+// Two observations show that the client had not sent the whole body at a time: the input that was read later had not arrived, or
+// more of the body was missing than the system can hold. Of a body of unknown length it is known only later, when so much more
+// has been read, that this was missing; samples are kept until then.
+type lastByteBound struct {
+	input         uploadInput
+	contentLength int64 // in bytes; -1 if unknown
+	sentAfter     time.Time
+	samples       []sentSample // of a body of unknown length, by time
+	nextSample    int64        // bytes read at which the next sample is due
+}
+
+// sentSample is an upper bound of how many bytes of a body the client had sent at a time.
+type sentSample struct {
+	at      time.Time
+	maxSent int64
+}
+
+// update raises the bound by what is observed after bytesRead bytes of the body.
+func (b *lastByteBound) update(bytesRead int64) {
+	b.raise(b.input.inputAwaitedAt())
+	if b.contentLength < 0 {
+		b.updateUnknownLength(bytesRead)
+		return
+	}
+	if b.contentLength-bytesRead <= socket.MaxSendBuffer() {
+		return // the client may have sent all of it
+	}
+	if sample, ok := b.sample(bytesRead); ok && sample.maxSent < b.contentLength {
+		b.raise(sample.at)
+	}
+}
+
+// updateUnknownLength evaluates the samples beyond whose bytes the body has been read, and takes a new one if it is due.
+func (b *lastByteBound) updateUnknownLength(bytesRead int64) {
+	for len(b.samples) > 0 && b.samples[0].maxSent < bytesRead {
+		b.raise(b.samples[0].at)
+		b.samples = b.samples[1:]
+	}
+	if bytesRead < b.nextSample {
+		return
+	}
+	b.nextSample = bytesRead + sampleInterval
+	if sample, ok := b.sample(bytesRead); ok {
+		b.samples = append(b.samples, sample)
+	}
+}
+
+// sample returns how much of the body the client can have sent by now. ok is false if that is not known.
+func (b *lastByteBound) sample(bytesRead int64) (sample sentSample, ok bool) {
+	at := time.Now() // before the count of unread bytes, which may grow meanwhile
+	unread, ok := b.input.unreadBytes()
+	return sentSample{at, bytesRead + httpReadBuffer + unread + socket.MaxSendBuffer()}, ok
+}
+
+// raise raises the bound to at, if that is later.
+func (b *lastByteBound) raise(at time.Time) {
+	if at.After(b.sentAfter) {
+		b.sentAfter = at
+	}
+}
--- a/internal/sidecar/request_handler.go
+++ b/internal/sidecar/request_handler.go
@@ -121,6 +121,7 @@
 	if err != nil {
 		return request, nil, err
 	}
+	timeLeft := request.Deadline // the client's timeout starts with the last byte of the request
 	outgoing := &upstream.Request{Method: e.in.Method, URL: e.in.URL, Host: e.in.Host, Header: e.in.Header}
 	isComplete := false
 	if body.contentLength <= upstream.MaxBufferedBody {
@@ -129,10 +130,12 @@
 			return request, nil, &invalidRequest{body.err.StatusCode, readErr.Error()}
 		}
 	}
+	now := e.loop.clock.now()
 	if !isComplete {
-		outgoing.Upload, request.IsUploading = unbufferedBody{body}, true
+		sentAfter, timeout := e.loop.clock.wallTime(now), time.Duration(timeLeft)*time.Microsecond
+		outgoing.Upload, request.IsUploading = newUpload(body, e.conn, sentAfter, timeout), true
 	}
-	request.Deadline += e.loop.clock.now() // the client's timeout starts with the last byte of the request
+	request.Deadline = now + timeLeft
 	return request, outgoing, nil
 }
 
@@ -145,7 +148,7 @@
 			panic(http.ErrAbortHandler) // the connection is closed
 		}
 	}
-	r := &pendingRequest{response: make(chan finalResponse, 1), outgoing: outgoing, timeLeft: in.Deadline - e.loop.clock.now(),
+	r := &pendingRequest{response: make(chan finalResponse, 1), outgoing: outgoing,
 		clientCtx: e.conn.disconnected, checkDisconnect: e.conn.checkDisconnected}
 	stop := e.conn.watchDisconnect(isUploading)
 	defer stop()
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -20,7 +20,6 @@
 	id       uint64
 	outgoing *upstream.Request
 	deadline balancer.Micros
-	timeLeft balancer.Micros // time from the last byte of a streamed request body to the deadline
 
 	response  chan finalResponse // receives the only final response; buffered, so that sending it does not block
 	clientCtx context.Context    // ends when the client disconnects, of which the loop may learn later; nil in some tests
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -75,9 +75,11 @@
 // The status says that the request never ran only if its last byte was not written or if the endpoint's response says so. In
 // all other cases the request may have run.
 func (c *Client) Attempt(ctx context.Context, target *Target, request *Request, forwarding *Forwarding) Result {
-	conn, err := c.connect(ctx, target, request.traffic)
+	startCtx, cancel := request.startContext(ctx)
+	defer cancel()
+	conn, err := c.connect(startCtx, target, request.traffic)
 	if err != nil {
-		return Result{Status: notSentStatus(ctx, err), Err: err}
+		return Result{Status: notSentStatus(startCtx, err), Err: err}
 	}
 	start := time.Now()
 	response, body, err := c.transport().exchange(ctx, conn, request, forwarding)
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -68,17 +68,35 @@
 	}
 }
 
-// stallLimitedWriter writes a body to an endpoint. A write fails if the endpoint does not take all of it within
-// maxEndpointStall.
-type stallLimitedWriter struct {
-	conn *connection
-	ctx  context.Context
+// uploadWriter writes a body to an endpoint while it arrives from the client. A write fails if the endpoint has not taken all of it
+// by the request's deadline, or within maxEndpointStall.
+type uploadWriter struct {
+	conn   *connection
+	ctx    context.Context
+	upload Upload
 }
 
 // Write writes all of p.
-func (w stallLimitedWriter) Write(p []byte) (int, error) {
-	w.conn.setDeadline(w.ctx, time.Now().Add(maxEndpointStall))
-	return w.conn.Write(p)
+func (w uploadWriter) Write(p []byte) (n int, err error) {
+	stallLimit := time.Now().Add(maxEndpointStall)
+	for {
+		deadline := earlier(w.upload.Deadline(), stallLimit)
+		w.conn.setDeadline(w.ctx, deadline)
+		written, err := w.conn.Write(p[n:])
+		n += written
+		hasMoved := earlier(w.upload.Deadline(), stallLimit).After(deadline)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !hasMoved || w.ctx.Err() != nil {
+			return n, err
+		}
+	}
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // stallLimitedReader reads a response's body from an endpoint. A read fails if the endpoint sends nothing within
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -119,18 +119,18 @@
 	return nil
 }
 
-// writeUpload writes a request whose body still arrives from the client. The time of the request's deadline starts after the last
-// byte.
+// writeUpload writes a request whose body still arrives from the client. Until the last byte is written, the deadline may move on.
 func (e *exchange) writeUpload() error {
-	streamCtx := e.forwarding.StreamContext
-	err := e.request.writeUpload(streamCtx, stallLimitedWriter{e.conn, streamCtx})
-	if clientErr := e.request.Upload.ClientError(); clientErr != nil {
+	upload, streamCtx := e.request.Upload, e.forwarding.StreamContext
+	err := e.request.writeUpload(uploadWriter{e.conn, streamCtx, upload})
+	if clientErr := upload.ClientError(); clientErr != nil {
 		return clientErr
 	}
 	if err != nil {
 		return &notSentError{err}
 	}
-	deadline := e.forwarding.BodySent()
+	deadline := upload.Deadline()
+	e.forwarding.BodySent(deadline)
 	if !e.unwatchContext() {
 		return e.ctx.Err()
 	}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -38,6 +38,7 @@
 type Upload interface {
 	io.Reader // if it fails, ClientError returns the same error from then on
 
+	Deadline() time.Time       // of the request; it moves on while the client is known not to have sent the whole body
 	ContentLength() int64      // of the whole body in bytes; -1 if unknown
 	IsConsumed() bool          // reports whether something was read, so that the request cannot be sent again
 	ClientError() *ClientError // the error that ended reading, or nil
@@ -47,9 +48,18 @@
 // be called during an attempt.
 func (r *Request) IsBodyConsumed() bool { return r.Upload != nil && r.Upload.IsConsumed() }
 
+// startContext returns ctx with the deadline by which an attempt has to begin to write the request. The caller calls cancel at
+// the end.
+func (r *Request) startContext(ctx context.Context) (startCtx context.Context, cancel context.CancelFunc) {
+	if r.Upload == nil {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, r.Upload.Deadline())
+}
+
 // writeUpload writes the request with the body's buffered start and its Upload.
-func (r *Request) writeUpload(ctx context.Context, w io.Writer) error {
-	request := r.toHTTP(ctx)
+func (r *Request) writeUpload(w io.Writer) error {
+	request := r.toHTTP(r.Upload.Deadline())
 	request.ContentLength = r.Upload.ContentLength()
 	// The struct hides the MultiReader's WriteTo, which would allocate a buffer for each request.
 	request.Body = io.NopCloser(struct{ io.Reader }{io.MultiReader(bytes.NewReader(r.Body), r.Upload)})
@@ -58,7 +68,8 @@
 
 // encode returns the HTTP/1.1 bytes of a request whose whole body is buffered.
 func (r *Request) encode(ctx context.Context) ([]byte, error) {
-	request := r.toHTTP(ctx)
+	deadline, _ := ctx.Deadline()
+	request := r.toHTTP(deadline)
 	if len(r.Body) > 0 {
 		request.ContentLength = int64(len(r.Body))
 		request.Body = io.NopCloser(bytes.NewReader(r.Body))
@@ -70,11 +81,11 @@
 	return data.Bytes(), nil
 }
 
-// toHTTP returns the request without its body, with X-Time-Left-Ms set from the deadline of ctx.
-func (r *Request) toHTTP(ctx context.Context) *http.Request {
+// toHTTP returns the request without its body, with X-Time-Left-Ms set from the deadline unless that is zero.
+func (r *Request) toHTTP(deadline time.Time) *http.Request {
 	request := &http.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: http.Header{}}
 	CopyEndToEndHeaders(request.Header, r.Header)
-	if deadline, ok := ctx.Deadline(); ok {
+	if !deadline.IsZero() {
 		timeLeft := max(0, time.Until(deadline).Milliseconds())
 		request.Header.Set(TimeLeftHeader, strconv.FormatInt(timeLeft, 10))
 	}
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"bramblestand/balancer"
 	"bramblestand/internal/endpointtest"
@@ -17,8 +18,9 @@
 	io.Reader
 	length     int64
 	isConsumed bool
-	failure    *ClientError // returned at the end of Reader; nil to end the body
-	err        *ClientError // returned by ClientError
+	failure    *ClientError     // returned at the end of Reader; nil to end the body
+	err        *ClientError     // returned by ClientError
+	deadline   func() time.Time // nil for one that is far away
 }
 
 func (u *fakeUpload) Read(p []byte) (int, error) {
@@ -31,6 +33,13 @@
 	return n, err
 }
 
+func (u *fakeUpload) Deadline() time.Time {
+	if u.deadline == nil {
+		return time.Now().Add(endpointtest.Timeout)
+	}
+	return u.deadline()
+}
+
 func (u *fakeUpload) ContentLength() int64      { return u.length }
 func (u *fakeUpload) IsConsumed() bool          { return u.isConsumed }
 func (u *fakeUpload) ClientError() *ClientError { return u.err }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -22,9 +22,9 @@
 
 	// MayStart is called before the first byte is written. It reports whether the client still wants the request.
 	MayStart func() bool
-	// BodySent is called after the last byte of a body that was not buffered has been written. It returns the request's
-	// deadline, whose time starts at this call.
-	BodySent func() time.Time
+	// BodySent is called after the last byte of a body that was not buffered has been written, with the request's deadline, which
+	// no longer moves.
+	BodySent func(deadline time.Time)
 	// StartResponse passes on a response to be forwarded, with the buffered start of its body. It must set
 	// stream.StopWatchingClient.
 	StartResponse func(response *http.Response, buffered []byte, stream *ResponseStream)
--- a/internal/upstream/response_test.go
+++ b/internal/upstream/response_test.go
@@ -24,7 +24,7 @@
 	return &Forwarding{
 		StreamContext: ctx,
 		MayStart:      func() bool { return true },
-		BodySent:      func() time.Time { return time.Now().Add(endpointtest.Timeout) },
+		BodySent:      func(time.Time) {},
 		StartResponse: func(_ *http.Response, buffered []byte, stream *ResponseStream) {
 			stream.StopWatchingClient = func() bool { return true }
 			go func() { stream.End(read(buffered, stream)) }()
