Count a long response that fails after its deadline against the endpoint

Change: the context without the deadline is asked, and only for a cancel.

Measured: TestStatusOfALongResponseThatFailsAfterTheDeadline fails before (cancelled, want reset) and passes now, also for a client that disconnects (cancelled). The tests of responses and disconnects pass 5 times.

--- a/internal/sidecar/response_stream_test.go
+++ b/internal/sidecar/response_stream_test.go
@@ -360,3 +360,47 @@
 		})
 	}
 }
+
+// A long response that fails after the request's deadline counts against the endpoint if that has broken it off, and not if the client
+// has disconnected. Guards against endpoints whose failures are taken for cancelled attempts.
+func TestStatusOfALongResponseThatFailsAfterTheDeadline(t *testing.T) {
+	const timeLeft = 200 * time.Millisecond
+	for _, c := range []struct {
+		name        string
+		clientStops bool
+		want        balancer.Status
+	}{
+		{"the endpoint breaks it off", false, balancer.Reset},
+		{"the client disconnects", true, balancer.Cancelled},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			breakOff := make(chan struct{})
+			e := endpointtest.NewServer(t, func(e *endpointtest.Server, conn net.Conn, in *bufio.Reader) {
+				e.ReadRequest(in)
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", longBodyLength)
+				io.CopyN(conn, &patternReader{end: longBodyLength}, 2*upstream.MaxBufferedBody)
+				<-breakOff
+			})
+			s := startSidecar(t, nil, readyEndpoint("s-1", e.Address))
+			response, err := http.DefaultClient.Do(s.request("read", "", timeLeft))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			time.Sleep(2 * timeLeft)
+			if c.clientStops {
+				response.Body.Close()
+			} else {
+				close(breakOff)
+			}
+			s.await("its outcome", func() bool { return len(s.recorder.statuses()) == 1 })
+			if got := s.recorder.statuses()[0]; got != c.want {
+				t.Errorf("the attempt counts as %v, want %v", got, c.want)
+			}
+			if c.clientStops {
+				close(breakOff)
+			}
+		})
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -85,7 +85,7 @@
 	response, body, err := c.transport().exchange(ctx, conn, request, forwarding)
 	result := Result{Latency: time.Since(start), Err: err}
 	if err != nil {
-		result.Status, result.ClientErrorCode = statusOfError(ctx, err)
+		result.Status, result.ClientErrorCode = statusOfError(ctx, forwarding, err)
 		return result
 	}
 	result.LoadReport = c.parseLoadReport(response.Header.Get(loadReportHeader))
@@ -113,7 +113,7 @@
 
 // statusOfError returns the status of an exchange without a complete response, and the status code of the response to the
 // client if the client caused the error.
-func statusOfError(ctx context.Context, err error) (status balancer.Status, clientErrorCode int) {
+func statusOfError(ctx context.Context, forwarding *Forwarding, err error) (status balancer.Status, clientErrorCode int) {
 	var clientErr *ClientError
 	var notSent *notSentError
 	switch {
@@ -124,13 +124,22 @@
 		return notSentStatus(ctx, notSent.error), 0
 	case errors.Is(err, errDeadlineExceeded):
 		return balancer.Timeout, 0
-	case ctx.Err() != nil:
+	case isCanceled(ctx, forwarding):
 		return balancer.Cancelled, 0
 	default:
 		return balancer.Reset, 0 // a broken, incomplete or malformed response
 	}
 }
 
+// isCanceled reports whether the caller has canceled an attempt. That the deadline of ctx has passed is no sign of it: a response that
+// is too long to be buffered may outlast the deadline.
+func isCanceled(ctx context.Context, forwarding *Forwarding) bool {
+	if forwarding != nil {
+		ctx = forwarding.StreamContext
+	}
+	return errors.Is(ctx.Err(), context.Canceled)
+}
+
 // statusOfResponse returns the status of an exchange with a complete response, and the status code of the response to the
 // client if the endpoint says that the client's request is at fault.
 func statusOfResponse(response *http.Response) (status balancer.Status, clientErrorCode int) {
