--- a/internal/sidecar/doc.go
+++ b/internal/sidecar/doc.go
@@ -3,7 +3,7 @@
 //
 // Run wires the parts together. They are listed here in the order in which a request passes through them:
 //
-//   - client_conns.go, client_conn.go, request_framing.go: client connections and their limits
+//   - client_conns.go, client_conn.go, client_conn_close.go, request_framing.go: client connections and their limits
 //   - request_handler.go, request_parser.go, request_body.go: requests and responses
 //   - upload.go, last_byte_bound.go: bodies that are not buffered, and their requests' deadlines
 //   - event_loop.go: the event loop. Its goroutine alone uses the balancer; all other goroutines post events to it. post appends
