--- a/internal/sidecar/test_sidecar_test.go
+++ b/internal/sidecar/test_sidecar_test.go
@@ -33,8 +33,8 @@
 	stop     context.CancelFunc // does what SIGTERM does
 	ended    chan error         // receives the result of server.serve
 
-	adminAddress   string // set by operate
-	handoverFolder string // set by operate
+	adminAddress   string // set by openAdmin
+	handoverFolder string // set by openAdmin
 
 	// A test may set these before launch.
 	log           slog.Handler     // nil discards the log
