--- a/review/7/main.go
+++ b/review/7/main.go
@@ -27,7 +27,18 @@
 func main() { lib2.Main(run) }
 
 func run(c *lib2.Case) (int, string) {
+	var mu sync.Mutex
+	counts := map[string]int{}
+	count := func(what string) {
+		mu.Lock()
+		defer mu.Unlock()
+		counts[what]++
+	}
 	handle := func(conn net.Conn, request *http.Request, _ []byte) bool {
+		if id := request.Header.Get("X-Correlation-Id"); id == insideID {
+			c.Printf("a pin server got request %s, which stood inside the body of another", id)
+			count("pin server got a request from inside a body")
+		}
 		time.Sleep(100 * time.Millisecond)
 		io.WriteString(conn, lib2.OK("saved:"+request.Header.Get("X-Correlation-Id")))
 		return true
@@ -37,14 +48,8 @@
 	sidecar := c.StartSidecar(lib2.SidecarOptions{Name: "n1", Discovery: agent.Address, Settings: lib2.Settings()})
 	time.Sleep(time.Second)
 
-	var mu sync.Mutex
-	counts := map[string]int{}
-	count := func(what string) {
-		mu.Lock()
-		defer mu.Unlock()
-		counts[what]++
-	}
 	if c.Trouble {
+		hiddenRequest(c, sidecar.Listen)
 		for i := range improperPeers {
 			go improperPeer(c, sidecar.Listen, i, count)
 			time.Sleep(peerInterval)
@@ -71,12 +76,28 @@
 	clients.Wait()
 	mu.Lock()
 	defer mu.Unlock()
-	if counts["lost"] > 0 || counts["improper peer: served with 200"] > 0 {
+	if counts["lost"] > 0 || counts["pin server got a request from inside a body"] > 0 || counts["improper peer: served with 200"] > 0 {
 		return lib2.Broken, fmt.Sprint(counts)
 	}
 	return lib2.Held, fmt.Sprint(counts)
 }
 
+// insideID is the id of the request that no client sends as a request of its own.
+const insideID = "inside"
+
+// hiddenRequest sends, after an `OPTIONS *`, a second one whose body has a length and chunks, and has a request inside.
+func hiddenRequest(c *lib2.Case, address string) {
+	conn, err := net.Dial("tcp", address)
+	lib2.Must(err)
+	defer conn.Close()
+	body := "0\r\n\r\n" + lib2.Request{Class: "save-pins", ID: insideID, Key: "k-inside", TimeLeft: timeLeft, Body: "pin"}.Text()
+	fmt.Fprintf(conn, "OPTIONS * HTTP/1.1\r\nHost: api.internal\r\n\r\nOPTIONS * HTTP/1.1\r\nHost: api.internal\r\n"+
+		"Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n%s", len(body), body)
+	conn.SetReadDeadline(time.Now().Add(time.Second))
+	text, _ := io.ReadAll(conn)
+	c.Printf("the peer that hid a request got %q", text)
+}
+
 // improperPeer sends a request that is none of the protocol's, and stays until it is closed.
 func improperPeer(c *lib2.Case, address string, i int, count func(string)) {
 	conn, err := net.Dial("tcp", address)
