--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,13 +1,13 @@
-// Command 6 is a case of the second review: pin servers send some answers twice, and the second one, some milliseconds late, is
-// passed to a client as the answer to another request.
+// Command 6 is a case of the second review: improper peers send `OPTIONS *` and stay. They are served with 200 and never closed
+// or evicted, until the requests of proper clients are no longer accepted.
 package main
 
 import (
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,24 +15,17 @@
 )
 
 const (
-	pinServers  = 6
-	clients     = 12
-	maxThink    = 40 * time.Millisecond
-	minWork     = 84 * time.Millisecond
-	maxWork     = 150 * time.Millisecond
-	spoiltOneIn = 50 // answers of which one is sent twice
-	maxLate     = 10 * time.Millisecond
-	timeLeft    = 2 * time.Second
-	length      = 30 * time.Second
+	improperPeers = 130 // a sidecar with 256 descriptors has room for 112 clients
+	peerInterval  = 10 * time.Millisecond
+	owed          = 3 * time.Second // an improper peer is owed an error or a close within this time of connecting
+	requests      = 40
+	interval      = 200 * time.Millisecond
+	timeLeft      = 2 * time.Second
+	allowance     = 500*time.Millisecond + 50*time.Millisecond + 50*time.Millisecond // half a second, the slack on sockets, and the stand-in's own lateness
 )
 
 func main() { lib2.Main(run) }
 
-// between returns a random time between two bounds.
-func between(least, most time.Duration) time.Duration {
-	return least + rand.N(most-least)
-}
-
 func run(c *lib2.Case) (int, string) {
 	var mu sync.Mutex
 	counts := map[string]int{}
@@ -42,57 +35,90 @@
 		counts[what]++
 	}
 	handle := func(conn net.Conn, request *http.Request, _ []byte) bool {
-		time.Sleep(between(minWork, maxWork))
-		answer := lib2.OK("saved:" + request.Header.Get("X-Correlation-Id"))
-		io.WriteString(conn, answer)
-		if c.Trouble && rand.IntN(spoiltOneIn) == 0 {
-			late := between(time.Millisecond, maxLate)
-			c.Printf("the answer to %s is sent again after %v", request.Header.Get("X-Correlation-Id"), late)
-			count("sent twice")
-			time.AfterFunc(late, func() { io.WriteString(conn, answer) })
+		if id := request.Header.Get("X-Correlation-Id"); id == insideID {
+			c.Printf("a pin server got request %s, which stood inside the body of another", id)
+			count("pin server got a request from inside a body")
 		}
+		time.Sleep(100 * time.Millisecond)
+		io.WriteString(conn, lib2.OK("saved:"+request.Header.Get("X-Correlation-Id")))
 		return true
 	}
-	var hosts []lib2.Host
-	for i := range pinServers {
-		hosts = append(hosts, lib2.ReadyHost(fmt.Sprintf("s-%d", i), lib2.StartPinServer(handle).Address, 1))
-	}
-	agent := lib2.StartAgent(hosts...)
+	agent := lib2.StartAgent(lib2.ReadyHost("s-0", lib2.StartPinServer(handle).Address, 1),
+		lib2.ReadyHost("s-1", lib2.StartPinServer(handle).Address, 1))
 	sidecar := c.StartSidecar(lib2.SidecarOptions{Name: "n1", Discovery: agent.Address, Settings: lib2.Settings()})
 	time.Sleep(time.Second)
 
-	end := time.Now().Add(length)
-	var running sync.WaitGroup
-	for k := range clients {
-		lib2.Go(&running, func() {
-			var conn *lib2.ClientConn
-			for i := 0; time.Now().Before(end); i++ {
-				if conn == nil {
-					var err error
-					conn, err = lib2.DialClient(sidecar.Listen)
-					lib2.Must(err)
-				}
-				id := fmt.Sprintf("r%d-%d", k, i)
-				answer := conn.Do(lib2.Request{Class: "save-pins", ID: id, Key: "k-" + id, TimeLeft: timeLeft, Body: "pin"}, time.Second)
-				c.Printf("%s: %d %q %v", id, answer.Status, answer.Body, answer.Err)
-				count(fmt.Sprint("status ", answer.Status))
-				if answer.Status == http.StatusOK && answer.Body != "saved:"+id {
-					c.Printf("FOREIGN: %s got the answer %q", id, answer.Body)
-					count("foreign")
-				}
-				if answer.Close || answer.Err != nil {
-					conn.Close()
-					conn = nil
-				}
-				time.Sleep(between(0, maxThink))
+	if c.Trouble {
+		hiddenRequest(c, sidecar.Listen)
+		for i := range improperPeers {
+			go improperPeer(c, sidecar.Listen, i, count)
+			time.Sleep(peerInterval)
+		}
+		time.Sleep(owed)
+	}
+
+	var clients sync.WaitGroup
+	for i := range requests {
+		lib2.Go(&clients, func() {
+			id := fmt.Sprintf("r%d", i)
+			conn, err := lib2.DialClient(sidecar.Listen)
+			lib2.Must(err)
+			defer conn.Close()
+			answer := conn.Do(lib2.Request{Class: "save-pins", ID: id, Key: "k-" + id, TimeLeft: timeLeft, Body: "pin"}, 2*time.Second)
+			c.Printf("%s: %d %q %v after %v", id, answer.Status, answer.Body, answer.Err, answer.Took)
+			count(fmt.Sprint("proper request: status ", answer.Status))
+			if answer.Status == 0 || answer.Took > timeLeft+allowance {
+				count("lost")
 			}
 		})
+		time.Sleep(interval)
 	}
-	running.Wait()
+	clients.Wait()
 	mu.Lock()
 	defer mu.Unlock()
-	if counts["foreign"] > 0 {
+	if counts["lost"] > 0 || counts["pin server got a request from inside a body"] > 0 || counts["improper peer: served with 200"] > 0 {
 		return lib2.Broken, fmt.Sprint(counts)
 	}
 	return lib2.Held, fmt.Sprint(counts)
 }
+
+// insideID is the id of the request that no client sends as a request of its own.
+const insideID = "inside"
+
+// hiddenRequest sends, after an `OPTIONS *`, a second one whose body has a length and chunks, and has a request inside.
+func hiddenRequest(c *lib2.Case, address string) {
+	conn, err := net.Dial("tcp", address)
+	lib2.Must(err)
+	defer conn.Close()
+	body := "0\r\n\r\n" + lib2.Request{Class: "save-pins", ID: insideID, Key: "k-inside", TimeLeft: timeLeft, Body: "pin"}.Text()
+	fmt.Fprintf(conn, "OPTIONS * HTTP/1.1\r\nHost: api.internal\r\n\r\nOPTIONS * HTTP/1.1\r\nHost: api.internal\r\n"+
+		"Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n%s", len(body), body)
+	conn.SetReadDeadline(time.Now().Add(time.Second))
+	text, _ := io.ReadAll(conn)
+	c.Printf("the peer that hid a request got %q", text)
+}
+
+// improperPeer sends a request that is none of the protocol's, and stays until it is closed.
+func improperPeer(c *lib2.Case, address string, i int, count func(string)) {
+	conn, err := net.Dial("tcp", address)
+	lib2.Must(err)
+	defer conn.Close()
+	io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: api.internal\r\n\r\n")
+	buffer := make([]byte, 4096)
+	conn.SetReadDeadline(time.Now().Add(owed))
+	n, err := conn.Read(buffer)
+	line, _, _ := strings.Cut(string(buffer[:n]), "\r\n")
+	c.Printf("improper peer %d got %q %v", i, line, err)
+	switch {
+	case strings.HasPrefix(line, "HTTP/1.1 200"):
+		count("improper peer: served with 200")
+	case n == 0 && lib2.IsTimeout(err):
+		count("improper peer: nothing within 3 s")
+	default:
+		count("improper peer: error or close")
+	}
+	conn.SetReadDeadline(time.Time{})
+	for err == nil || lib2.IsTimeout(err) {
+		_, err = conn.Read(buffer)
+	}
+}
--- a/review/lib2/lib2.go
+++ b/review/lib2/lib2.go
@@ -443,7 +443,14 @@
 	if _, err := io.WriteString(c, r.Text()); err != nil {
 		return Answer{Err: err, Took: time.Since(start)}
 	}
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	return c.Await(r.TimeLeft + patience)
+}
+
+// Await waits for the whole answer to a request whose last byte has just been written.
+func (c *ClientConn) Await(patience time.Duration) Answer {
+	start := time.Now()
+	c.SetDeadline(start.Add(patience))
+	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		return Answer{Err: err, Took: time.Since(start)}
 	}
