--- a/review/lib2/lib2.go
+++ b/review/lib2/lib2.go
@@ -6,12 +6,14 @@
 	"bufio"
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -54,18 +56,17 @@
 	sidecars []*Sidecar
 }
 
-// Main runs a case in the folder that is the only argument, and exits with its result. The case is given up if it takes too long.
+// Main runs a case from the project's root folder and exits with its result. The flag -record names the file that the record is
+// written to. The case is given up if it takes too long, or is told to end.
 func Main(run func(*Case) (code int, verdict string)) {
-	if len(os.Args) != 2 {
-		fmt.Fprintln(os.Stderr, "usage: "+os.Args[0]+" FOLDER")
-		os.Exit(CouldNot)
-	}
-	folder, err := filepath.Abs(os.Args[1])
+	path := flag.String("record", "", "file of the record")
+	flag.Parse()
+	root, err := os.Getwd()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(CouldNot)
 	}
-	file, err := os.Create(filepath.Join(folder, "record.txt"))
+	file, err := os.Create(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(CouldNot)
@@ -75,7 +76,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(CouldNot)
 	}
-	c := &Case{Record: &Record{file: file, start: time.Now()}, Root: filepath.Dir(filepath.Dir(folder)), Temp: temp,
+	c := &Case{Record: &Record{file: file, start: time.Now()}, Root: root, Temp: temp,
 		Trouble: os.Getenv("TROUBLE") != "0"}
 	type result struct {
 		code    int
@@ -91,9 +92,13 @@
 		code, verdict := run(c)
 		done <- result{code, verdict}
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	var r result
 	select {
 	case r = <-done:
+	case <-signals:
+		r = result{CouldNot, "could not run: told to end"}
 	case <-time.After(caseLimit):
 		r = result{CouldNot, "could not run: took too long"}
 	}
