--- a/review/6/main.go
+++ b/review/6/main.go
@@ -43,8 +43,8 @@
 		io.WriteString(conn, lib2.OK("saved:"+request.Header.Get("X-Correlation-Id")))
 		return true
 	}
-	agent := lib2.StartAgent(lib2.ReadyHost("s-0", lib2.StartPinServer(handle).Address, 1),
-		lib2.ReadyHost("s-1", lib2.StartPinServer(handle).Address, 1))
+	agent := lib2.StartAgent(lib2.ReadyHost("s-0", c.StartPinServer(handle).Address, 1),
+		lib2.ReadyHost("s-1", c.StartPinServer(handle).Address, 1))
 	sidecar := c.StartSidecar(lib2.SidecarOptions{Name: "n1", Discovery: agent.Address, Settings: lib2.Settings()})
 	time.Sleep(time.Second)
 
@@ -61,7 +61,7 @@
 	for i := range requests {
 		lib2.Go(&clients, func() {
 			id := fmt.Sprintf("r%d", i)
-			conn, err := lib2.DialClient(sidecar.Listen)
+			conn, err := c.DialClient(sidecar.Listen)
 			lib2.Must(err)
 			defer conn.Close()
 			answer := conn.Do(lib2.Request{Class: "save-pins", ID: id, Key: "k-" + id, TimeLeft: timeLeft, Body: "pin"}, 2*time.Second)
@@ -103,6 +103,7 @@
 	conn, err := net.Dial("tcp", address)
 	lib2.Must(err)
 	defer conn.Close()
+	c.Printf("improper peer %d sends OPTIONS *", i)
 	io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: api.internal\r\n\r\n")
 	buffer := make([]byte, 4096)
 	conn.SetReadDeadline(time.Now().Add(owed))
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -36,8 +36,8 @@
 		io.WriteString(conn, lib2.OK("saved:"+request.Header.Get("X-Correlation-Id")))
 		return true
 	}
-	agent := lib2.StartAgent(lib2.ReadyHost("s-0", lib2.StartPinServer(handle).Address, 1),
-		lib2.ReadyHost("s-1", lib2.StartPinServer(handle).Address, 1))
+	agent := lib2.StartAgent(lib2.ReadyHost("s-0", c.StartPinServer(handle).Address, 1),
+		lib2.ReadyHost("s-1", c.StartPinServer(handle).Address, 1))
 	sidecar := c.StartSidecar(lib2.SidecarOptions{Name: "n1", Discovery: agent.Address, Settings: lib2.Settings(),
 		MemoryMB: memoryMB, Sockets: sockets, OneCore: true})
 	time.Sleep(time.Second)
@@ -45,8 +45,8 @@
 	end := start.Add(length)
 
 	if c.Trouble {
-		for range improperPeers {
-			go improperPeer(sidecar.Listen, end)
+		for i := range improperPeers {
+			go improperPeer(c, i, sidecar.Listen, end)
 		}
 	}
 	var mu sync.Mutex
@@ -56,7 +56,7 @@
 		lib2.Go(&running, func() {
 			for i := 0; time.Now().Before(end) && !sidecar.HasExited(); i++ {
 				id := fmt.Sprintf("r%d-%d", k, i)
-				conn, err := lib2.DialClient(sidecar.Listen)
+				conn, err := c.DialClient(sidecar.Listen)
 				if err != nil {
 					c.Printf("%s: %v", id, err)
 					continue
@@ -101,7 +101,7 @@
 }
 
 // improperPeer sends most of a head, and stays until it gets an error or a close. Then it comes again.
-func improperPeer(address string, end time.Time) {
+func improperPeer(c *lib2.Case, i int, address string, end time.Time) {
 	head := "POST /save-pins HTTP/1.1\r\nHost: api.internal\r\n"
 	for i := 0; len(head) < headBytes; i++ {
 		head += strconv.FormatInt(int64(i), 36) + ":\r\n"
@@ -111,9 +111,11 @@
 		if err != nil {
 			return
 		}
+		c.Printf("improper peer %d sends %d bytes of a head", i, len(head))
 		io.WriteString(conn, head)
 		conn.SetReadDeadline(end)
-		io.Copy(io.Discard, conn)
+		answer, _ := io.ReadAll(conn)
+		c.Printf("improper peer %d got %q and was closed", i, answer)
 		conn.Close()
 		time.Sleep(peerPause)
 	}
--- a/review/9/main.go
+++ b/review/9/main.go
@@ -151,7 +151,7 @@
 		// In each round six connections are made to pin servers, and one of them comes up late.
 		for _, kind := range []string{"plain-a", "plain-b", "plain-c", "plain-d", "reset"} {
 			id := fmt.Sprintf("%s-%d", kind, i)
-			conn, err := lib2.DialClient(sidecar.Listen)
+			conn, err := c.DialClient(sidecar.Listen)
 			lib2.Must(err)
 			answer := conn.Do(lib2.Request{Class: "save-pins", ID: id, Key: "k-" + id, TimeLeft: timeLeft, Body: "pin"}, time.Second)
 			conn.Close()
--- a/review/lib2/lib2.go
+++ b/review/lib2/lib2.go
@@ -430,20 +430,22 @@
 type ClientConn struct {
 	net.Conn
 	reader *bufio.Reader
+	record *Record
 }
 
-// DialClient opens a connection.
-func DialClient(address string) (*ClientConn, error) {
+// DialClient opens a connection. What is sent on it is recorded.
+func (c *Case) DialClient(address string) (*ClientConn, error) {
 	conn, err := net.DialTimeout("tcp", address, 10*time.Second)
 	if err != nil {
 		return nil, err
 	}
-	return &ClientConn{conn, bufio.NewReader(conn)}, nil
+	return &ClientConn{conn, bufio.NewReader(conn), c.Record}, nil
 }
 
 // Do sends a request and waits for its whole answer, for its time left and patience beyond that.
 func (c *ClientConn) Do(r Request, patience time.Duration) Answer {
 	start := time.Now()
+	c.record.Printf("%s is sent", r.ID)
 	c.SetDeadline(start.Add(r.TimeLeft + patience))
 	if _, err := io.WriteString(c, r.Text()); err != nil {
 		return Answer{Err: err, Took: time.Since(start)}
--- a/review/lib2/pinserver.go
+++ b/review/lib2/pinserver.go
@@ -16,14 +16,15 @@
 	// Handle writes the answer. It returns false if the connection is to be closed.
 	Handle func(conn net.Conn, request *http.Request, body []byte) bool
 
+	Record   *Record // of the requests that run; may be nil
 	InFlight atomic.Int64
 }
 
-// StartPinServer starts a pin server.
-func StartPinServer(handle func(conn net.Conn, request *http.Request, body []byte) bool) *PinServer {
+// StartPinServer starts a pin server whose requests are recorded.
+func (c *Case) StartPinServer(handle func(conn net.Conn, request *http.Request, body []byte) bool) *PinServer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Must(err)
-	s := &PinServer{Address: l.Addr().String(), Handle: handle}
+	s := &PinServer{Address: l.Addr().String(), Handle: handle, Record: c.Record}
 	go s.Serve(l)
 	return s
 }
@@ -64,6 +65,9 @@
 			io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
+		if s.Record != nil {
+			s.Record.Printf("%s runs at %s", request.Header.Get("X-Correlation-Id"), conn.LocalAddr())
+		}
 		s.InFlight.Add(1)
 		keep := s.Handle(conn, request, body)
 		s.InFlight.Add(-1)
