--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -49,7 +49,10 @@
 	}
 	calls := admin.NewHandler(adminController{s}, a.log, a.retainConnection)
 	a.http = http.Server{
-		Handler:        a.countCalls(calls),
+		Handler: a.countCalls(calls),
+		// Every call has to reach the handler. By default net/http answers "OPTIONS *" itself.
+		DisableGeneralOptionsHandler: true,
+
 		ReadTimeout:    adminTimeout,
 		WriteTimeout:   adminTimeout,
 		MaxHeaderBytes: upstream.MaxHeaderBytes,
--- a/internal/sidecar/client_conn_eviction_test.go
+++ b/internal/sidecar/client_conn_eviction_test.go
@@ -66,6 +66,12 @@
 	}
 }
 
+// answerUntaken records that net/http has answered a request without its handler.
+func (c *registeredConn) answerUntaken() {
+	c.clients.connState(c.clientConn, http.StateActive)
+	c.clients.connState(c.clientConn, http.StateIdle)
+}
+
 // isEvicted tries to evict the connection for twice minUnprovenAge, and reports whether that succeeded.
 func (c *registeredConn) isEvicted() bool {
 	for deadline := time.Now().Add(2 * minUnprovenAge); time.Now().Before(deadline); time.Sleep(evictionRetryInterval) {
@@ -98,6 +104,8 @@
 		"a valid request":               {func(c *registeredConn) { c.serve(false) }, false},
 		"answered":                      {func(c *registeredConn) { c.serve(true) }, true},
 		"answered, part of the next":    {func(c *registeredConn) { c.serve(true); c.receive("GE") }, false},
+		"answered, then an empty line":  {func(c *registeredConn) { c.serve(true); c.receive("\r\n") }, true},
+		"answered by net/http itself":   {func(c *registeredConn) { c.receive("OPTIONS * HTTP/1.1\r\n\r\n"); c.answerUntaken() }, true},
 		"answered, the next not read":   {func(c *registeredConn) { c.serve(true); c.send("GE") }, false},
 		"answered, the next taken": {func(c *registeredConn) {
 			c.serve(true)
@@ -222,6 +230,7 @@
 	invalid := "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 	for name, sent := range map[string]string{
 		"connections":        "",
+		"general options":    "OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n",
 		"parts of heads":     "GET / HTTP/1.1\r\n",
 		"parts of bodies":    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc",
 		"invalid requests":   invalid,
--- a/internal/sidecar/disconnect_test.go
+++ b/internal/sidecar/disconnect_test.go
@@ -228,6 +228,7 @@
 	nothingUnread    unreadInput = "nothing unread"
 	pipelinedRequest unreadInput = "a pipelined request"
 	floodBehind      unreadInput = "a flood behind it"
+	emptyLineBehind  unreadInput = "an empty line behind it"
 	partialBody      unreadInput = "a body on its way"
 	partialChunks    unreadInput = "chunks on their way"
 )
@@ -239,7 +240,7 @@
 // It does not check the 50 ms, since a busy machine may take longer.
 func TestNothingIsForwardedForADisconnectedClient(t *testing.T) {
 	for _, wait := range []waitKind{waitForPick, waitForDial, waitForLoop, waitForUncancellable} {
-		for _, unread := range []unreadInput{nothingUnread, pipelinedRequest, floodBehind, partialBody, partialChunks} {
+		for _, unread := range []unreadInput{nothingUnread, pipelinedRequest, floodBehind, emptyLineBehind, partialBody, partialChunks} {
 			for _, reset := range []bool{false, true} {
 				name := fmt.Sprintf("waits for %s, %s, reset %v", wait, unread, reset)
 				t.Run(name, func(t *testing.T) {
@@ -278,6 +279,8 @@
 			s.request("pay", "x", time.Minute).Write(conn)
 		case floodBehind:
 			conn.Write(bytes.Repeat([]byte("z"), 32<<10))
+		case emptyLineBehind:
+			io.WriteString(conn, "\r\n")
 		}
 	}
 	if wait == waitForLoop { // the goroutines that notice the disconnects cannot post them either
--- a/internal/sidecar/request_framing.go
+++ b/internal/sidecar/request_framing.go
@@ -1,6 +1,10 @@
 package sidecar
 
-import "bytes"
+import (
+	"bytes"
+	"math"
+	"net/http"
+)
 
 // maxHeaderLineKept is how many bytes of each header line are kept: enough for the name and value of Content-Length, and for the
 // name of Transfer-Encoding.
@@ -9,82 +13,126 @@
 // unknownContentLength is the content length of a head in which no Content-Length was read yet.
 const unknownContentLength = -1
 
-// requestFraming finds the beginning and end of each request in a client's byte stream. It detects heads with both a
-// Content-Length and a Transfer-Encoding, which net/http does not report: it drops the length. Another server may read such input
-// as two requests where this one reads a single request, or the other way round (RFC 9112, section 6.3: request smuggling).
+// requestFraming finds the beginning and end of each request in a client's byte stream. net/http parses the same stream and does
+// not tell where a request ends in it, so the two are kept in step:
+//
+//   - A read of the connection ends where a head or a body ends (observe). When net/http starts the handler of a request, it has
+//     not read more than a byte of the next one, and head describes that request.
+//   - The handler compares head with what net/http has parsed (requestHead.check). If they differ, the request is rejected and its
+//     connection closed: another server might read such input as two requests where this one reads a single request, or the
+//     other way round (RFC 9112, section 11.2: request smuggling).
 //
 // A requestFraming is not safe for concurrent use.
 type requestFraming struct {
-	headsRead       int  // number of complete heads
-	conflictingHead int  // number of the head with both headers, counted from 1; 0 if there is none
-	isDone          bool // the current request is the last one on the connection; further input is ignored
-	isInHead        bool // part of a head was read, but not its end
+	headsRead  int         // number of complete heads
+	head       requestHead // the last complete head
+	isDone     bool        // the current request is the last one on the connection; further input is ignored
+	isInHead   bool        // part of a head was read, but not its end
+	blankBytes int         // bytes of empty lines read since the last request, if nothing of the next one was read
 
-	line              []byte // the current line of a head, up to maxHeaderLineKept bytes
-	hasTransferCoding bool   // the current head has a Transfer-Encoding
-	contentLength     int64  // Content-Length of the current head in bytes, or unknownContentLength
-	bodyRemaining     int64  // bytes of the current body that were not read yet
+	line          []byte      // the current line of a head, up to maxHeaderLineKept bytes
+	partialHead   requestHead // the head that is being read
+	bodyRemaining int64       // bytes of the current body that were not read yet
 }
 
-func newRequestFraming() requestFraming { return requestFraming{contentLength: unknownContentLength} }
+// requestHead is what a head says about the length of its request's body.
+type requestHead struct {
+	hasTransferCoding bool  // it has a Transfer-Encoding
+	contentLength     int64 // its Content-Length in bytes, or unknownContentLength
+}
 
-// observe processes the next bytes of the stream. They may begin and end anywhere in a request.
-func (f *requestFraming) observe(data []byte) {
-	for len(data) > 0 && !f.isDone {
-		if f.bodyRemaining > 0 {
-			n := min(f.bodyRemaining, int64(len(data)))
-			f.bodyRemaining -= n
-			data = data[n:]
-			continue
-		}
-		f.isInHead = true
-		part, rest, isLineComplete := bytes.Cut(data, []byte("\n"))
+func newRequestFraming() requestFraming {
+	return requestFraming{partialHead: requestHead{contentLength: unknownContentLength}}
+}
+
+// observe processes the next bytes of the stream, up to the end of the current head or body. It returns the number of bytes that
+// it has processed, which is at least 1 unless data is empty.
+func (f *requestFraming) observe(data []byte) (n int) {
+	switch {
+	case f.isDone:
+		return len(data)
+	case f.bodyRemaining > 0:
+		n = int(min(f.bodyRemaining, int64(len(data))))
+		f.bodyRemaining -= int64(n)
+		return n
+	default:
+		return f.observeHead(data)
+	}
+}
+
+// observeHead processes bytes of a head up to its end. Empty lines before a head are no part of it: net/http skips a few after a
+// POST request, and else rejects the request.
+func (f *requestFraming) observeHead(data []byte) (n int) {
+	if !f.isInHead {
+		n = len(data) - len(bytes.TrimLeft(data, "\r\n"))
+		f.blankBytes += n
+	}
+	for n < len(data) && !f.isDone {
+		f.isInHead, f.blankBytes = true, 0
+		part, _, isLineComplete := bytes.Cut(data[n:], []byte("\n"))
 		f.line = append(f.line, part[:min(len(part), maxHeaderLineKept-len(f.line))]...)
 		if !isLineComplete {
-			return
+			return len(data)
 		}
-		data = rest
-		f.observeLine(bytes.TrimSuffix(f.line, []byte("\r")))
+		n += len(part) + 1
+		line := bytes.TrimSuffix(f.line, []byte("\r"))
 		f.line = f.line[:0]
+		if len(line) == 0 {
+			f.endHead()
+			return n
+		}
+		f.observeLine(line)
 	}
+	return n
 }
 
-// observeLine processes one line of a head. An empty line ends the head.
+// observeLine processes one line of a head.
 func (f *requestFraming) observeLine(line []byte) {
-	if len(line) == 0 {
-		f.endHead()
-		return
-	}
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	switch {
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-		f.hasTransferCoding = true
+		f.partialHead.hasTransferCoding = true
 	case bytes.EqualFold(name, []byte("Content-Length")):
 		f.observeContentLength(bytes.TrimSpace(value))
 	}
 }
 
-// observeContentLength parses the value of a Content-Length. A value that is malformed or too large ends the framing: the server
-// rejects the request and closes the connection.
+// observeContentLength parses the value of a Content-Length. A value that is malformed ends the framing: net/http rejects the
+// request and closes the connection.
 func (f *requestFraming) observeContentLength(value []byte) {
-	f.contentLength = 0
+	length := int64(0)
 	for _, digit := range value {
-		if digit < '0' || digit > '9' || f.contentLength > maxRequestBody {
+		if digit < '0' || digit > '9' || length > (math.MaxInt64-9)/10 {
 			f.isDone = true
 			return
 		}
-		f.contentLength = 10*f.contentLength + int64(digit-'0')
+		length = 10*length + int64(digit-'0')
 	}
+	f.partialHead.contentLength = length
 }
 
 // endHead ends the current head and begins its body.
 func (f *requestFraming) endHead() {
 	f.headsRead++
 	f.isInHead = false
-	if f.hasTransferCoding && f.contentLength >= 0 {
-		f.conflictingHead = f.headsRead
+	f.head, f.partialHead = f.partialHead, newRequestFraming().partialHead
+	// The end of a body in chunks is not found. The sidecar closes the connection after such a request.
+	f.isDone = f.head.hasTransferCoding
+	f.bodyRemaining = max(0, f.head.contentLength)
+}
+
+// hasReadAhead reports whether input was read that follows the current request, of which the body is complete.
+func (f *requestFraming) hasReadAhead() bool { return f.isInHead || f.blankBytes > 0 }
+
+// check returns an error unless the head leaves no doubt about the end of its request, as which net/http has parsed in.
+func (h requestHead) check(in *http.Request) *invalidRequest {
+	switch {
+	case h.hasTransferCoding && !in.ProtoAtLeast(1, 1):
+		return errUnsupportedVersion // HTTP/1.0 has no chunked coding: net/http would read a chunked body as the next request
+	case h.hasTransferCoding && h.contentLength != unknownContentLength:
+		return newInvalidRequest("both a length and a transfer coding are given")
+	case h.hasTransferCoding != (len(in.TransferEncoding) > 0), !h.hasTransferCoding && max(0, h.contentLength) != in.ContentLength:
+		return newInvalidRequest("the length of the body is ambiguous")
 	}
-	// The server closes the connection after a request with a transfer coding.
-	f.isDone = f.hasTransferCoding
-	f.bodyRemaining, f.contentLength = max(0, f.contentLength), unknownContentLength
+	return nil
 }
--- a/internal/sidecar/request_framing_test.go
+++ b/internal/sidecar/request_framing_test.go
@@ -30,16 +30,18 @@
 		for size := 1; size <= len(c.sent); size++ {
 			f := newRequestFraming()
 			for remaining := c.sent; len(remaining) > 0; {
-				n := min(size, len(remaining))
-				f.observe([]byte(remaining[:n]))
-				remaining = remaining[n:]
+				remaining = remaining[f.observe([]byte(remaining[:min(size, len(remaining))])):]
 			}
 			if f.isInHead && !f.isDone {
 				t.Fatalf("%.60q in pieces of %d: a head is reported as incomplete at the end", c.sent, size)
 			}
-			if f.headsRead != c.headsRead || f.conflictingHead != c.conflictingHead {
+			conflictingHead := 0 // it can only be the last one, after which the framing is done
+			if f.head.hasTransferCoding && f.head.contentLength != unknownContentLength {
+				conflictingHead = f.headsRead
+			}
+			if f.headsRead != c.headsRead || conflictingHead != c.conflictingHead {
 				t.Fatalf("%.60q in pieces of %d: %d heads, conflict in %d; want %d and %d",
-					c.sent, size, f.headsRead, f.conflictingHead, c.headsRead, c.conflictingHead)
+					c.sent, size, f.headsRead, conflictingHead, c.headsRead, c.conflictingHead)
 			}
 		}
 	}
--- a/internal/sidecar/request_handler.go
+++ b/internal/sidecar/request_handler.go
@@ -40,7 +40,10 @@
 // newHTTPServer returns the server that calls the handler.
 func (h *requestHandler) newHTTPServer() *http.Server {
 	return &http.Server{
-		Handler:           h, // not a ServeMux, which would redirect paths that endpoints are to see unchanged
+		Handler: h, // not a ServeMux, which would redirect paths that endpoints are to see unchanged
+		// Every request has to reach the handler, which takes it. By default net/http answers "OPTIONS *" itself.
+		DisableGeneralOptionsHandler: true,
+
 		ReadHeaderTimeout: transferGracePeriod,
 		WriteTimeout:      maxRequestTimeout + writeTimeout,
 		// IdleTimeout is not set: clientConns closes idle connections.
@@ -55,14 +58,18 @@
 func (h *requestHandler) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	e := &clientExchange{requestHandler: h, writer: w, in: in, controller: http.NewResponseController(w),
 		conn: clientConnOf(in), arrived: h.loop.clock.now()}
-	switch {
-	case e.conn.takeRequest():
-		e.rejectInvalid(newInvalidRequest("both a length and a transfer coding are given"))
-	case in.URL.Path == readinessPath:
+	if err := e.take(); err != nil {
+		e.rejectInvalid(err)
+		return
+	}
+	if len(in.TransferEncoding) > 0 {
+		e.closeConnection() // requestFraming ignores the input that follows such a request
+	}
+	if in.URL.Path == readinessPath {
 		h.serveReadiness(w)
-	default:
-		e.serve()
+		return
 	}
+	e.serve()
 }
 
 // serveReadiness answers a readiness check, and ends its connection. Checks may come from any client, and connections that they
@@ -84,6 +91,16 @@
 	arrived    balancer.Micros
 }
 
+// take starts on the request. It returns an error if net/http and the framing of the connection differ on where the request ends.
+func (e *clientExchange) take() *invalidRequest {
+	head, isInStep := e.conn.takeRequest()
+	if !isInStep {
+		e.clients.countOutOfStep()
+		return newInvalidRequest("the end of the head is ambiguous")
+	}
+	return head.check(e.in)
+}
+
 // serve reads the request and writes its final response. It panics with http.ErrAbortHandler, which makes net/http close the
 // connection, if the client must not take the output, or its absence, for a complete response.
 func (e *clientExchange) serve() {
@@ -92,9 +109,6 @@
 		e.reject(overloadRetryAfter, rejectedConnections)
 		return
 	}
-	if len(e.in.TransferEncoding) > 0 {
-		e.closeConnection() // requestFraming ignores the input that follows such a request
-	}
 	body := &requestBody{reader: e.in.Body, controller: e.controller, contentLength: e.in.ContentLength}
 	if retryAfter, reason, ok := e.bodies.add(body); !ok {
 		e.rejectUnread(retryAfter, reason)
--- a/internal/sidecar/status_log.go
+++ b/internal/sidecar/status_log.go
@@ -38,7 +38,7 @@
 	open, idle := s.loop.upstream.ConnectionCounts()
 	attributes := []any{"requests_taken", s.loop.lastRequestID, "requests", len(s.loop.requests),
 		"clients_accepted", clients.accepted, "clients_new", clients.unused, "clients_active", clients.active,
-		"clients_idle", clients.idle, "upstream_open", open, "upstream_idle", idle,
+		"clients_idle", clients.idle, "clients_out_of_step", clients.outOfStep, "upstream_open", open, "upstream_idle", idle,
 		"events", len(s.loop.events), "goroutines", runtime.NumGoroutine()}
 	for class, count := range clients.evicted {
 		attributes = append(attributes, "clients_evicted_"+evictionClass(class).String(), count)
