--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -20,7 +20,8 @@
 )
 
 const (
-	adminTimeout = 2 * time.Second // for reading a whole call, and for writing its answer
+	adminTimeout   = 2 * time.Second // for reading a whole call, and for writing its answer
+	adminMaxMemory = 1 << 20         // bytes that the heads of all calls may take; part of processMemory
 	// adminCallTimeout limits how long a call waits for the event loop in total. Operators must get an answer within 1 s.
 	adminCallTimeout = 800 * time.Millisecond
 )
@@ -44,6 +45,7 @@
 
 func newAdminServer(s *server) *adminServer {
 	a := &adminServer{log: s.loop.log, connections: newClientConns(config.MaxAdminConnections)}
+	a.connections.memory.setMaxBytes(adminMaxMemory)
 	if s.loop.controlTraffic != nil {
 		a.connections.traffic = &s.loop.controlTraffic.Admin
 	}
--- a/internal/sidecar/client_conn_close.go
+++ b/internal/sidecar/client_conn_close.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"syscall"
 	"time"
@@ -27,6 +28,31 @@
 	return nil
 }
 
+// Responses to requests whose head net/http has not got in full.
+var (
+	// headTooLarge answers a head that takes more than maxHeadMemory.
+	headTooLarge = []byte("HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	// noHeadMemory answers a head for which there is not enough memory now.
+	noHeadMemory = fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: %.3f\r\nConnection: close\r\n\r\n",
+		overloadRetryAfter.Seconds())
+)
+
+// headResponseTimeout limits the write of such a response. The socket's buffer has room for it unless the client reads nothing.
+const headResponseTimeout = 10 * time.Millisecond
+
+// rejectHead answers a request that no handler has taken, and closes the connection. It does nothing if a response is outstanding.
+func (c *clientConn) rejectHead(response []byte) {
+	c.closeIf(func() bool {
+		if c.requestsTaken > c.requestsFinished {
+			return false
+		}
+		c.Conn.SetWriteDeadline(time.Now().Add(headResponseTimeout))
+		c.Write(response)
+		c.owner.countHeadRejection()
+		return true
+	})
+}
+
 // closeIdle closes the connection unless part of a request without a response has arrived, whether it was read or not. The check
 // is needed here because a request may have arrived since the registry found the connection idle.
 func (c *clientConn) closeIdle() {
--- a/internal/sidecar/doc.go
+++ b/internal/sidecar/doc.go
@@ -5,6 +5,7 @@
 //
 //   - client_conns.go, client_conn.go, client_conn_close.go, request_framing.go: client connections and their limits
 //   - request_handler.go, request_parser.go, request_body.go: requests and responses
+//   - request_memory.go, memory_limits.go: the memory of requests, from the first byte of a head to the response
 //   - upload.go, last_byte_bound.go: bodies that are not buffered, and their requests' deadlines
 //   - event_loop.go: the event loop. Its goroutine alone uses the balancer; all other goroutines post events to it. post appends
 //     an event to the queue; postUrgent, for operators' calls, runs an event ahead of the queue.
--- a/internal/sidecar/endpoints.go
+++ b/internal/sidecar/endpoints.go
@@ -29,6 +29,9 @@
 		l.removeEndpointsExcept(entries)
 	}
 	l.updateHasEndpoints()
+	if l.onEndpointCount != nil {
+		l.onEndpointCount(len(l.listedEndpoints))
+	}
 	if kind != balancer.UpdateCached {
 		l.recordListReceived()
 	}
--- a/internal/sidecar/event_loop.go
+++ b/internal/sidecar/event_loop.go
@@ -68,6 +68,7 @@
 	controlTraffic     *controltraffic.Accounting // nil without an admin address
 	snapshots          *state.Writer              // nil if no state is persisted
 	adminSettings      func() *handover.State     // returns the operators' settings in force; nil without an admin address
+	onEndpointCount    func(endpoints int)        // called when the number of listed endpoints may have changed; may be nil
 	restoredMembership json.RawMessage            // the membership snapshot that an earlier process persisted; nil if there is none
 
 	// Any goroutine may use these.
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"bramblestand/balancer"
@@ -15,10 +14,6 @@
 	"bramblestand/internal/mutant"
 )
 
-// heapTenths is how many tenths of the platform's memory limit the heap may use. The rest is for memory that the Go runtime does
-// not count.
-const heapTenths = 8
-
 // openHandover opens the handover file, which the processes of this sidecar share, and writes the persisted operators' settings
 // into it. Run calls it before the event loop starts.
 func (s *server) openHandover() {
@@ -113,20 +108,18 @@
 func (s *server) splitLimits(hasOtherProcess bool) {
 	limits := s.loop.cfg.Limits
 	maxConnections := s.loop.cfg.MaxConnections()
+	maxClients := maxConnections
 	if hasOtherProcess {
 		s.loop.log.Info("another process of this sidecar runs; limits are split")
-		maxClients := min(maxConnections, limits.Sockets/clientsDescriptorDivisor)
-		maxIdle := (limits.Sockets - 2*maxClients - 2*config.ReservedSockets) / 2
-		s.loop.upstream.SetLimits(maxClients, max(maxIdle, 0))
+		maxOpen := min(maxConnections, limits.Sockets/clientsDescriptorDivisor)
+		maxIdle := (limits.Sockets - 2*maxOpen - 2*config.ReservedSockets) / 2
+		s.loop.upstream.SetLimits(maxOpen, max(maxIdle, 0))
 		if !s.limitsSplit {
-			s.clients.setMaxConns(maxClients)
+			maxClients = maxOpen
 		}
 	} else {
 		s.loop.upstream.SetLimits(maxConnections, maxConnections)
-		s.clients.setMaxConns(maxConnections)
 	}
 	s.hasOtherProcess, s.limitsSplit = hasOtherProcess, true
-	maxHeap := int64(limits.MemoryMB) << 20 / 10 * heapTenths / int64(processCount(hasOtherProcess))
-	debug.SetMemoryLimit(maxHeap)
-	s.requests.bodies.setMaxBytes(maxHeap / bodiesHeapDivisor)
+	s.memory.setProcesses(processCount(hasOtherProcess), maxClients)
 }
--- a/internal/sidecar/rejections.go
+++ b/internal/sidecar/rejections.go
@@ -4,15 +4,22 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Reasons for which the sidecar itself rejects requests, in addition to those of balancer.RejectReason.
-const (
-	rejectedConnections  = "too_many_connections" // more client connections than allowed
-	rejectedMemory       = "no_memory"            // no memory left for the request's body and response
-	rejectedShuttingDown = "shutting_down"        // the process is shutting down
+var (
+	rejectionConnections = &rejection{"too_many_connections", overloadRetryAfter} // more client connections than allowed
+	rejectionMemory      = &rejection{"no_memory", overloadRetryAfter}            // no memory left for the request and its response
+	rejectionShutdown    = &rejection{"shutting_down", shutdownRetryAfter}        // the process is shutting down
 )
 
+// rejection is a reason for which the sidecar itself rejects a request.
+type rejection struct {
+	reason     string        // for the log and the counts
+	retryAfter time.Duration // sent to the client
+}
+
 // rejectionCounts counts rejected requests by reason. Its methods may be called from any goroutine.
 type rejectionCounts struct {
 	mu     sync.Mutex // guards counts
--- a/internal/sidecar/request_body_test.go
+++ b/internal/sidecar/request_body_test.go
@@ -249,7 +249,7 @@
 		}
 	})
 	s := startSidecar(t, nil, readyEndpoint("s-1", e.Address))
-	s.server.requests.bodies.setMaxBytes(2*bodybuffer.Size + upstream.MaxBufferedBody)
+	s.server.clients.memory.setMaxBytes(2*bodybuffer.Size + upstream.MaxBufferedBody)
 	first := make(chan clientResponse)
 	go func() { first <- s.send(s.request("pay", strings.Repeat("x", upstream.MaxBufferedBody), time.Minute)) }()
 	s.await("the first to be in flight", func() bool { n, _ := e.Counts(); return n == 1 })
--- a/internal/sidecar/request_framing.go
+++ b/internal/sidecar/request_framing.go
@@ -39,8 +39,13 @@
 type requestHead struct {
 	hasTransferCoding bool  // it has a Transfer-Encoding
 	contentLength     int64 // its Content-Length in bytes, or unknownContentLength
+	bytes, lines      int   // its size so far
 }
 
+// memory returns the memory in bytes that net/http takes for the head and its parsed form. Half of the head is added for buffers
+// that grow while it is read.
+func (h requestHead) memory() int64 { return int64(h.bytes + h.bytes/2 + h.lines*headLineMemory) }
+
 func newRequestFraming() requestFraming {
 	return requestFraming{partialHead: requestHead{contentLength: unknownContentLength}}
 }
@@ -70,11 +75,13 @@
 	for n < len(data) && !f.isDone {
 		f.isInHead, f.blankBytes = true, 0
 		part, _, isLineComplete := bytes.Cut(data[n:], []byte("\n"))
+		f.partialHead.bytes += len(part)
 		f.line = append(f.line, part[:min(len(part), maxHeaderLineKept-len(f.line))]...)
 		if !isLineComplete {
 			return len(data)
 		}
 		n += len(part) + 1
+		f.partialHead.lines++
 		line := bytes.TrimSuffix(f.line, []byte("\r"))
 		f.line = f.line[:0]
 		if len(line) == 0 {
@@ -121,6 +128,14 @@
 	f.bodyRemaining = max(0, f.head.contentLength)
 }
 
+// headMemory returns the memory in bytes that the current head takes, or the last one if none was begun since.
+func (f *requestFraming) headMemory() int64 {
+	if f.isInHead {
+		return f.partialHead.memory()
+	}
+	return f.head.memory()
+}
+
 // hasReadAhead reports whether input was read that follows the current request, of which the body is complete.
 func (f *requestFraming) hasReadAhead() bool { return f.isInHead || f.blankBytes > 0 }
 
--- a/internal/sidecar/request_handler.go
+++ b/internal/sidecar/request_handler.go
@@ -89,6 +89,8 @@
 	controller *http.ResponseController
 	conn       *clientConn
 	arrived    balancer.Micros
+	headMemory int64              // bytes that the request's head takes
+	memory     *memoryReservation // of the request; nil until serve
 }
 
 // take starts on the request. It returns an error if net/http and the framing of the connection differ on where the request ends.
@@ -98,6 +100,7 @@
 		e.clients.countOutOfStep()
 		return newInvalidRequest("the end of the head is ambiguous")
 	}
+	e.headMemory = head.memory()
 	return head.check(e.in)
 }
 
@@ -106,21 +109,25 @@
 func (e *clientExchange) serve() {
 	if e.clients.isOverLimit() {
 		// With more connections the process would run out of descriptors, and could neither accept clients nor connect to endpoints.
-		e.reject(overloadRetryAfter, rejectedConnections)
+		e.reject(rejectionConnections)
 		return
 	}
-	body := &requestBody{reader: e.in.Body, controller: e.controller, contentLength: e.in.ContentLength}
-	if retryAfter, reason, ok := e.bodies.add(body); !ok {
-		e.rejectUnread(retryAfter, reason)
+	e.memory = e.conn.retainMemory()
+	defer e.memory.release()
+	body := e.newBody()
+	if !e.bodies.add(body) {
+		e.rejectUnread(rejectionShutdown)
 		return
 	}
 	defer e.bodies.remove(body)
 	request, outgoing, err := e.read(body)
 	switch {
-	case err != nil && body.wasAborted():
-		e.rejectUnread(shutdownRetryAfter, rejectedShuttingDown)
+	case err != nil && body.abortReason() != nil:
+		e.rejectUnread(body.abortReason())
 	case err != nil:
 		e.rejectInvalid(err)
+	case !e.memory.admit(outgoing.Upload != nil):
+		e.rejectUnread(rejectionMemory)
 	case !e.clients.markValidRequest(e.conn):
 		e.logNotServed(finalResponse{statusCode: statusDisconnected})
 		panic(http.ErrAbortHandler) // the connection was closed
@@ -129,6 +136,16 @@
 	}
 }
 
+// newBody returns the request's body. If the memory for it is revoked, the body is aborted.
+func (e *clientExchange) newBody() *requestBody {
+	body := &requestBody{reader: e.in.Body, controller: e.controller, contentLength: e.in.ContentLength,
+		memory: e.memory, headMemory: e.headMemory}
+	if isRevoked := e.memory.setOnRevoke(func() { body.abort(rejectionMemory) }); isRevoked {
+		body.abort(rejectionMemory)
+	}
+	return body
+}
+
 // read parses the request and reads the part of its body that is buffered. The result's Deadline is in the loop's time.
 func (e *clientExchange) read(body *requestBody) (balancer.Request, *upstream.Request, *invalidRequest) {
 	request, err := e.parser.parse(e.in)
@@ -162,11 +179,13 @@
 			panic(http.ErrAbortHandler) // the connection is closed
 		}
 	}
-	r := &pendingRequest{response: make(chan finalResponse, 1), outgoing: outgoing,
+	r := &pendingRequest{response: make(chan finalResponse, 1), outgoing: outgoing, memory: e.memory,
 		clientCtx: e.conn.disconnected, checkDisconnect: e.conn.checkDisconnected}
 	stop := e.conn.watchDisconnect(isUploading)
 	defer stop()
+	e.memory.retain() // for the event loop
 	if !e.loop.postForClient(e.conn.disconnected, func(now balancer.Micros) { e.loop.admitRequest(now, r, in) }) {
+		e.memory.release()
 		e.logNotServed(finalResponse{statusCode: statusDisconnected})
 		panic(http.ErrAbortHandler)
 	}
@@ -191,9 +210,11 @@
 		e.closeConnection()
 	}
 	if response.stream != nil {
+		e.clients.memory.recordResponse(forwardingMemory)
 		e.writeStream(response)
 		return
 	}
+	e.clients.memory.recordResponse(int64(len(response.body)))
 	e.controller.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection, on which the write fails as well
 	e.writeBuffered(response)
 	if body.hasUnread() {
@@ -229,19 +250,19 @@
 	e.writer.Write(response.body) // a failure means that the client has disconnected
 }
 
-// reject answers 503 and ends the connection. reason is for the log and the rejection counts.
-func (e *clientExchange) reject(retryAfter time.Duration, reason string) {
+// reject answers 503 and ends the connection.
+func (e *clientExchange) reject(cause *rejection) {
 	e.closeConnection()
-	e.loop.rejections.add(reason)
-	response := finalResponse{statusCode: http.StatusServiceUnavailable, retryAfter: retryAfter.Microseconds(), reason: reason}
+	e.loop.rejections.add(cause.reason)
+	response := finalResponse{statusCode: http.StatusServiceUnavailable, retryAfter: cause.retryAfter.Microseconds(), reason: cause.reason}
 	e.logNotServed(response)
 	e.writeBuffered(response)
 }
 
 // rejectUnread rejects a request whose body was not read to its end: there is no memory for it, or the process is shutting down
 // and might be killed before it answers the request. During a shutdown, the client's retry reaches another process.
-func (e *clientExchange) rejectUnread(retryAfter time.Duration, reason string) {
-	e.reject(retryAfter, reason)
+func (e *clientExchange) rejectUnread(cause *rejection) {
+	e.reject(cause)
 	if e.in.ContentLength != 0 {
 		e.flushAndClose()
 	}
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -23,6 +23,9 @@
 
 	response  chan finalResponse // receives the only final response; buffered, so that sending it does not block
 	clientCtx context.Context    // ends when the client disconnects, of which the loop may learn later; nil in some tests
+	// memory is released when the request leaves the table, since an attempt may use the body for longer than the client waits; nil
+	// if no memory is reserved.
+	memory *memoryReservation
 	// checkDisconnect asks the system whether the client has disconnected, and ends clientCtx if so. It is nil if there is no
 	// connection. Any goroutine may call it.
 	checkDisconnect func()
@@ -118,8 +121,8 @@
 func clientErrorResponse(statusCode int) finalResponse {
 	response := finalResponse{statusCode: statusCode}
 	if statusCode == http.StatusServiceUnavailable {
-		response.retryAfter = shutdownRetryAfter.Microseconds()
-		response.reason = rejectedShuttingDown
+		response.retryAfter = rejectionShutdown.retryAfter.Microseconds()
+		response.reason = rejectionShutdown.reason
 	}
 	return response
 }
@@ -141,7 +144,11 @@
 
 // releaseRequest removes a request from the table if it is done and has no outstanding attempts.
 func (l *eventLoop) releaseRequest(r *pendingRequest) {
-	if r.isDone && r.outstanding == 0 {
-		delete(l.requests, r.id)
+	if !r.isDone || r.outstanding > 0 || l.requests[r.id] != r {
+		return
+	}
+	delete(l.requests, r.id)
+	if r.memory != nil {
+		r.memory.release()
 	}
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -27,11 +27,9 @@
 	maxShutdownTime       = time.Minute             // how long responses may go on after accepting has ended
 )
 
-// Divisors of the platform's limits.
-const (
-	bodiesHeapDivisor        = 2 // request bodies may take the heap divided by this
-	clientsDescriptorDivisor = 3 // while two processes run, the clients of each may take the descriptors divided by this
-)
+// clientsDescriptorDivisor is the platform's limit of descriptors divided by those that the clients of each process may take while
+// two processes run.
+const clientsDescriptorDivisor = 3
 
 // server accepts clients, serves their requests and shuts down gracefully. There is one in each sidecar process.
 type server struct {
@@ -39,6 +37,7 @@
 	clients  *clientConns
 	requests *requestHandler
 	http     *http.Server
+	memory   *memoryLimits
 
 	isListening    atomic.Bool // clients are accepted
 	isShuttingDown atomic.Bool // SIGTERM was received
@@ -57,6 +56,8 @@
 	s := &server{loop: l, clients: newClientConns(l.cfg.MaxConnections()), acceptDuration: acceptAfterShutdown}
 	s.requests = newRequestHandler(l, s.clients, s.isDraining)
 	s.http = s.requests.newHTTPServer()
+	s.memory = &memoryLimits{clients: s.clients, requests: s.clients.memory, memoryBytes: int64(l.cfg.Limits.MemoryMB) << 20}
+	l.onEndpointCount = s.memory.setEndpoints
 	return s
 }
 
--- a/internal/sidecar/status_log.go
+++ b/internal/sidecar/status_log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"runtime/metrics"
 	"time"
 
 	"bramblestand/balancer"
@@ -38,7 +39,8 @@
 	open, idle := s.loop.upstream.ConnectionCounts()
 	attributes := []any{"requests_taken", s.loop.lastRequestID, "requests", len(s.loop.requests),
 		"clients_accepted", clients.accepted, "clients_new", clients.unused, "clients_active", clients.active,
-		"clients_idle", clients.idle, "clients_out_of_step", clients.outOfStep, "upstream_open", open, "upstream_idle", idle,
+		"clients_idle", clients.idle, "clients_out_of_step", clients.outOfStep, "heads_rejected", clients.headsRejected,
+		"request_bytes", s.clients.memory.used(), "heap_live_bytes", heapLiveBytes(), "upstream_open", open, "upstream_idle", idle,
 		"events", len(s.loop.events), "goroutines", runtime.NumGoroutine()}
 	for class, count := range clients.evicted {
 		attributes = append(attributes, "clients_evicted_"+evictionClass(class).String(), count)
@@ -47,6 +49,13 @@
 	s.loop.log.Info("status", attributes...)
 }
 
+// heapLiveBytes returns how much of the heap was in use at the end of the last garbage collection.
+func heapLiveBytes() uint64 {
+	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	metrics.Read(sample)
+	return sample[0].Value.Uint64()
+}
+
 // datagramCounts returns the datagram counts of each channel since the start, or nil if the sidecar has no fleet or has not
 // joined it yet. Any goroutine may call it.
 func (l *eventLoop) datagramCounts() map[datagram.Channel]datagram.ChannelCounts {
--- a/internal/sidecar/test_sidecar_test.go
+++ b/internal/sidecar/test_sidecar_test.go
@@ -105,7 +105,7 @@
 	s.recorder = &eventRecorder{loadBalancer: s.loop.balancer}
 	s.loop.balancer = s.recorder
 	s.server = newServer(s.loop)
-	s.server.requests.bodies.setMaxBytes(64 << 20)
+	s.server.clients.memory.setMaxBytes(64 << 20)
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	loopEnded := make(chan struct{})
