TestStalledBodiesMakeRoom: wait until all stalled bodies have arrived

Need: failed in 1 of 5 runs of the package (a stalled body was answered 408, want 503). Traced: the test went on once three of the eight bodies were there, so that the next body found room without any of them being ended, and the first answer was the timeout of a stalled one.

Change: it waits for all eight, beside which the next body does not fit. The expectations are unchanged.

--- a/internal/sidecar/request_memory_test.go
+++ b/internal/sidecar/request_memory_test.go
@@ -200,7 +200,7 @@
 			statuses <- statusCodes(string(text))
 		}()
 	}
-	s.await("the bodies in part", func() bool { return memory.used() > (stalled-2)*upstream.MaxBufferedBody/2 })
+	s.await("the bodies in part", func() bool { return memory.used() >= stalled*(upstream.MaxBufferedBody-requestAllotment) })
 	body := strings.Repeat("x", upstream.MaxBufferedBody)
 	s.await("room for others", func() bool { return s.send(s.request("pay", body, time.Minute)).statusCode == http.StatusOK })
 	if status := <-statuses; status != "503" {
