--- a/balancer/actions.go
+++ b/balancer/actions.go
@@ -5,7 +5,10 @@
 type Actions interface {
 	// StartAttempt sends a request to an endpoint. The attempts of a request are numbered from 0. A timeout
 	// of 0 means that the attempt may last until the client's deadline.
-	StartAttempt(id uint64, endpoint uint32, timeout Micros)
+	//
+	// A sendBefore other than 0 is the time from which the attempt is no longer safe. A host that needs time
+	// to connect must not send the last byte of the request from then on; it reports NotSent instead.
+	StartAttempt(id uint64, endpoint uint32, timeout, sendBefore Micros)
 	// Reject answers a request with a rejection, which promises that a retry by the client is harmless.
 	// retryAfter is the delay before a retry that is suggested to the client; 0 suggests none. The reason is
 	// for logs.
--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -8,6 +8,7 @@
 	zone            uint8 // of the endpoint when the attempt started: an endpoint may move
 	pod             uint16
 	startedAt       Micros
+	sentAt          Micros  // when the host began to send the request, if it has told; else 0
 	expectedLatency float64 // predicted at the start without the zone's slowdown, in microseconds
 	contendedWork   float64 // work times the contention estimated at the start
 	outstanding     bool    // no outcome yet
@@ -73,6 +74,7 @@
 	if b.isWarmingUp(now, e) {
 		e.slowStart.budget -= r.work * slowStartCharge
 	}
+	sendBefore := b.endOfDedupWindow(r) // of the attempts before this one
 	r.attempts = append(r.attempts, attempt{
 		endpoint:        e,
 		zone:            e.Zone,
@@ -89,7 +91,7 @@
 		r.lastAttempt().markInFlight(now)
 	}
 	b.startedWork.add(now, r.work)
-	b.actions.StartAttempt(r.ID, e.ID, 0)
+	b.actions.StartAttempt(r.ID, e.ID, 0, sendBefore)
 	if len(r.attempts) == 1 && !r.IsUploading {
 		b.actions.SetTimer(max(1, r.Deadline-now), r.timerToken)
 	}
@@ -115,6 +117,7 @@
 	if a.inFlight {
 		a.endpoint.removeInFlight(a.startedAt)
 	}
+	a.sentAt = o.SentAt
 	r.bodyConsumed = r.bodyConsumed || o.BodyConsumed
 	if o.Status.provesNotRun() {
 		a.mayHaveRun = false
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -36,7 +36,7 @@
 //   - A request has one outstanding attempt at a time and at most Limits.MaxAttempts in all. None is started
 //     after the answer, after a response has begun or after part of the body is consumed (retry_safety.go).
 //   - A request is neither retried nor rejected if a second execution could have a second effect
-//     (retry_safety.go).
+//     (retry_safety.go). The host gets the time until which a retry may be sent.
 //   - Nothing is sent to an endpoint that is banned, draining or removed (endpoints.go, bans.go).
 //   - An endpoint in its slow start gets no more than its budget (slow_start.go).
 //   - The same settings, seed and events lead to the same actions.
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -87,6 +87,7 @@
 	Endpoint     uint32
 	Status       Status
 	Latency      Micros    // from the start of the attempt
+	SentAt       Micros    // when the host began to send the request; 0 for the start of the attempt
 	RequestDone  bool      // the client has its response: no answer is needed
 	BodyConsumed bool      // part of the request body is consumed: it cannot be sent again
 	LoadReport   []float32 // valid during the call only; no decision reads it
--- a/balancer/example_test.go
+++ b/balancer/example_test.go
@@ -9,7 +9,7 @@
 // host prints the actions that a balancer requests; a sidecar carries them out.
 type host struct{ sent []uint32 }
 
-func (h *host) StartAttempt(id uint64, endpoint uint32, timeout balancer.Micros) {
+func (h *host) StartAttempt(id uint64, endpoint uint32, timeout, sendBefore balancer.Micros) {
 	h.sent = append(h.sent, endpoint)
 	fmt.Printf("send request %d to endpoint %d\n", id, endpoint)
 }
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -34,21 +34,23 @@
 
 // recorder implements Actions and records the actions of a balancer.
 type recorder struct {
-	attempts []startedAttempt
-	rejected []uint64
-	reasons  []RejectReason // of the rejected requests
-	failed   []uint64
-	cancels  []uint64
-	probes   []uint32
-	gossip   [][]byte
-	timers   []uint32
-	delays   []Micros
-	watches  int
-	logs     []string
+	attempts   []startedAttempt
+	rejected   []uint64
+	reasons    []RejectReason // of the rejected requests
+	sendBefore []Micros       // of each attempt
+	failed     []uint64
+	cancels    []uint64
+	probes     []uint32
+	gossip     [][]byte
+	timers     []uint32
+	delays     []Micros
+	watches    int
+	logs       []string
 }
 
-func (r *recorder) StartAttempt(id uint64, e uint32, _ Micros) {
+func (r *recorder) StartAttempt(id uint64, e uint32, _, sendBefore Micros) {
 	r.attempts = append(r.attempts, startedAttempt{id, e})
+	r.sendBefore = append(r.sendBefore, sendBefore)
 }
 
 func (r *recorder) Reject(id uint64, _ Micros, reason RejectReason) {
--- a/balancer/retry_safety.go
+++ b/balancer/retry_safety.go
@@ -21,7 +21,8 @@
 
 // isSafeAt reports whether an attempt at e cannot cause a second effect of the request. A request that is
 // idempotent with its key is safe at endpoints that drop duplicates of the first attempt that may have run:
-// those within its dedup scope, and only during its dedup window.
+// those within its dedup scope, and only during its dedup window. An attempt that is safe now may be sent
+// later only until endOfDedupWindow.
 func (b *Balancer) isSafeAt(now Micros, r *request, e *endpoint) bool {
 	first := r.firstThatMayHaveRun()
 	if first == nil {
@@ -32,11 +33,23 @@
 	case Idempotent:
 		return true
 	case IdempotentWithKey:
-		return now < first.startedAt+class.DedupWindow && first.isInScope(class.DedupScope, e)
+		return now < b.endOfDedupWindow(r) && first.isInScope(class.DedupScope, e)
 	}
 	return false
 }
 
+// endOfDedupWindow returns when endpoints stop to drop duplicates of a request that is idempotent with its
+// key, or 0 if there is no such time: no attempt may have run, or the request is of another kind. The window
+// begins when the first attempt that may have run was sent.
+func (b *Balancer) endOfDedupWindow(r *request) Micros {
+	first := r.firstThatMayHaveRun()
+	class := b.classOf(r)
+	if first == nil || class.RetrySafety != IdempotentWithKey {
+		return 0
+	}
+	return max(first.startedAt, first.sentAt) + class.DedupWindow
+}
+
 // isInScope reports whether e drops duplicates of a request that ran at the attempt's endpoint.
 func (a *attempt) isInScope(scope DedupScope, e *endpoint) bool {
 	switch scope {
--- a/balancer/retry_safety_test.go
+++ b/balancer/retry_safety_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"testing"
 )
 
@@ -43,6 +44,48 @@
 	}
 }
 
+// A retry may be sent until the end of the dedup window, which begins when the first attempt that may have run was sent. A first
+// attempt, a retry after attempts that never ran and one of an idempotent request may be sent at any time. Guards against a retry
+// that is decided within the window and sent after it (issue 52, review/9).
+func TestRetryMayBeSentUntilTheEndOfTheDedupWindow(t *testing.T) {
+	const sentAt, finishedAt = 300_000, 400_000
+	s := testSettings()
+	window := s.Classes[3].DedupWindow
+	for name, c := range map[string]struct {
+		class   uint8
+		outcome Outcome
+		want    Micros // sendBefore of the retry
+	}{
+		"reset":                      {3, Outcome{Status: Reset}, 1000 + window},
+		"reset, sent late":           {3, Outcome{Status: Reset, SentAt: sentAt}, sentAt + window},
+		"error, for all endpoints":   {1, Outcome{Status: Error, SentAt: sentAt}, sentAt + window},
+		"never ran":                  {3, Outcome{Status: ConnectFailed}, 0},
+		"never ran, rejected late":   {3, Outcome{Status: Rejected, SentAt: sentAt}, 0},
+		"idempotent":                 {0, Outcome{Status: Reset, SentAt: sentAt}, 0},
+		"not idempotent, never sent": {4, Outcome{Status: NotSent}, 0},
+	} {
+		b, r := start(t, s, ready(2))
+		b.RequestArrived(1000, requestOf(1, c.class, 1000))
+		c.outcome.ID, c.outcome.Endpoint = 1, r.attempts[0].endpoint
+		b.AttemptFinished(finishedAt, c.outcome)
+		if want := []Micros{0, c.want}; !slices.Equal(r.sendBefore, want) {
+			t.Errorf("%s: attempts may be sent until %v, want %v", name, r.sendBefore, want)
+		}
+	}
+}
+
+// A retry that was not sent before the end of the dedup window is the last attempt: the request fails at once.
+func TestRequestFailsWhenItsRetryIsTooLate(t *testing.T) {
+	b, r := start(t, testSettings(), ready(2))
+	b.RequestArrived(1000, requestOf(1, 3, 1000))
+	b.AttemptFinished(2000, Outcome{ID: 1, Endpoint: r.attempts[0].endpoint, Status: Reset, SentAt: 1500})
+	end := r.sendBefore[1]
+	b.AttemptFinished(end, Outcome{ID: 1, Attempt: 1, Endpoint: r.attempts[1].endpoint, Status: NotSent})
+	if len(r.attempts) != 2 || len(r.failed) != 1 || len(r.rejected) != 0 {
+		t.Errorf("attempts %v, failed %v, rejected %v; want two attempts and a failure", r.attempts, r.failed, r.rejected)
+	}
+}
+
 // A request that may have run and whose dedup scope is a pod cannot be rejected. It is retried as long as the
 // response can be in time, at the same endpoint if the pod has no other. After that it fails.
 func TestRequestThatCannotBeRejectedIsRetried(t *testing.T) {
--- a/balancer/safety_test.go
+++ b/balancer/safety_test.go
@@ -29,6 +29,7 @@
 type checkedAttempt struct {
 	endpoint    Endpoint // as it was when the attempt started
 	startedAt   Micros
+	sentAt      Micros
 	outstanding bool
 	mayHaveRun  bool
 }
@@ -55,7 +56,7 @@
 	return nil
 }
 
-func (c *safetyChecker) StartAttempt(id uint64, endpoint uint32, _ Micros) {
+func (c *safetyChecker) StartAttempt(id uint64, endpoint uint32, _, sendBefore Micros) {
 	r := c.requests[id]
 	if r == nil {
 		c.fault("attempt for unknown request %d", id)
@@ -84,11 +85,12 @@
 		isInScope := class.DedupScope == DedupScopeFleet ||
 			class.DedupScope == DedupScopeZone && first.endpoint.Zone == e.Zone ||
 			class.DedupScope == DedupScopePod && first.endpoint.Pod == e.Pod
-		if class.RetrySafety == NonIdempotent || !isInScope || c.now > first.startedAt+class.DedupWindow {
+		windowEnd := first.sentAt + class.DedupWindow
+		if class.RetrySafety == NonIdempotent || !isInScope || c.now > windowEnd || sendBefore == 0 || sendBefore > windowEnd {
 			c.fault("retry of request %d (%s) may have a second effect", id, class.Name)
 		}
 	}
-	r.attempts = append(r.attempts, checkedAttempt{endpoint: e, startedAt: c.now, outstanding: true, mayHaveRun: true})
+	r.attempts = append(r.attempts, checkedAttempt{endpoint: e, startedAt: c.now, sentAt: c.now, outstanding: true, mayHaveRun: true})
 }
 
 // answer counts an answer to a request. It returns nil if the request may not be answered.
@@ -264,8 +266,9 @@
 		if status == OK && !r.isOver() {
 			r.clientInformed = true
 		}
+		a.sentAt = (a.startedAt + e.now) / 2 // connecting took half of the time
 		e.balancer.AttemptFinished(e.now, Outcome{ID: r.request.ID, Attempt: i, Endpoint: a.endpoint.ID,
-			Status: status, Latency: e.now - a.startedAt, RequestDone: r.isOver()})
+			Status: status, Latency: e.now - a.startedAt, SentAt: a.sentAt, RequestDone: r.isOver()})
 		return
 	}
 }
@@ -366,18 +369,23 @@
 	}
 	for name, do := range map[string]func(*safetyChecker){
 		"two answers":                    func(c *safetyChecker) { c.Reject(0, 0, RejectLatency); c.Fail(0) },
-		"attempt after the answer":       func(c *safetyChecker) { c.Fail(0); c.StartAttempt(0, 1, 0) },
-		"attempt at a draining endpoint": func(c *safetyChecker) { c.endpoints[1] = Endpoint{ID: 1, State: Draining}; c.StartAttempt(0, 1, 0) },
-		"not idempotent, retried":        func(c *safetyChecker) { c.StartAttempt(4, 1, 0); c.StartAttempt(4, 2, 0) },
-		"not idempotent, rejected":       func(c *safetyChecker) { c.StartAttempt(4, 1, 0); c.Reject(4, 0, RejectLatency) },
-		"retry outside the zone":         func(c *safetyChecker) { c.StartAttempt(2, 1, 0); c.StartAttempt(2, 3, 0) },
-		"retry outside the pod":          func(c *safetyChecker) { c.StartAttempt(3, 1, 0); c.StartAttempt(3, 3, 0) },
-		"retry after the window":         func(c *safetyChecker) { c.StartAttempt(1, 1, 0); c.now = second; c.StartAttempt(1, 2, 0) },
+		"attempt after the answer":       func(c *safetyChecker) { c.Fail(0); c.StartAttempt(0, 1, 0, 0) },
+		"attempt at a draining endpoint": func(c *safetyChecker) { c.endpoints[1] = Endpoint{ID: 1, State: Draining}; c.StartAttempt(0, 1, 0, 0) },
+		"not idempotent, retried":        func(c *safetyChecker) { c.StartAttempt(4, 1, 0, 0); c.StartAttempt(4, 2, 0, 0) },
+		"not idempotent, rejected":       func(c *safetyChecker) { c.StartAttempt(4, 1, 0, 0); c.Reject(4, 0, RejectLatency) },
+		"retry outside the zone":         func(c *safetyChecker) { c.StartAttempt(2, 1, 0, 0); c.StartAttempt(2, 3, 0, 0) },
+		"retry outside the pod":          func(c *safetyChecker) { c.StartAttempt(3, 1, 0, 0); c.StartAttempt(3, 3, 0, 0) },
+		"retry after the window":         func(c *safetyChecker) { c.StartAttempt(1, 1, 0, 0); c.now = second; c.StartAttempt(1, 2, 0, 1) },
+		"retry sent after the window": func(c *safetyChecker) {
+			c.StartAttempt(1, 1, 0, 0)
+			c.StartAttempt(1, 2, 0, c.settings.Classes[1].DedupWindow+1)
+		},
+		"retry that may be sent at any time": func(c *safetyChecker) { c.StartAttempt(1, 1, 0, 0); c.StartAttempt(1, 2, 0, 0) },
 		"too many attempts": func(c *safetyChecker) {
-			c.StartAttempt(0, 1, 0)
-			c.StartAttempt(0, 2, 0)
-			c.StartAttempt(0, 3, 0)
-			c.StartAttempt(0, 4, 0)
+			c.StartAttempt(0, 1, 0, 0)
+			c.StartAttempt(0, 2, 0, 0)
+			c.StartAttempt(0, 3, 0, 0)
+			c.StartAttempt(0, 4, 0, 0)
 		},
 	} {
 		c := fresh()
--- a/balancer/script_test.go
+++ b/balancer/script_test.go
@@ -154,7 +154,7 @@
 }
 
 // StartAttempt schedules the outcome of an attempt at a fake endpoint, with a random status.
-func (s *script) StartAttempt(id uint64, endpoint uint32, timeout Micros) {
+func (s *script) StartAttempt(id uint64, endpoint uint32, timeout, _ Micros) {
 	s.record(recordSend, id, uint64(endpoint), uint64(timeout))
 	request, server := s.requests[id], s.server(endpoint)
 	attempt := request.attempts
--- a/balancer/slow_start_fleet_test.go
+++ b/balancer/slow_start_fleet_test.go
@@ -93,7 +93,7 @@
 	balancer *Balancer
 }
 
-func (c *slowStartBalancer) StartAttempt(id uint64, endpoint uint32, _ Micros) {
+func (c *slowStartBalancer) StartAttempt(id uint64, endpoint uint32, _, _ Micros) {
 	f, e := c.fleet, c.fleet.endpoints[endpoint]
 	sent, attempt := f.now, len(c.balancer.requests[id].attempts)-1
 	f.after(slowStartOneWay, func() {
--- a/cmd/simadapter/instance.go
+++ b/cmd/simadapter/instance.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// StartAttempt sends a request to an endpoint.
-func (i *instance) StartAttempt(id uint64, endpoint uint32, timeout balancer.Micros) {
+// StartAttempt sends a request to an endpoint. The simulator sends it at once, so that it is never too late for it.
+func (i *instance) StartAttempt(id uint64, endpoint uint32, timeout, _ balancer.Micros) {
 	i.reply.StartAttempt(id, endpoint, timeout)
 }
 
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -11,8 +11,9 @@
 )
 
 // StartAttempt starts an attempt in its own goroutine. The attempt ends at the request's deadline, or after timeout if that is
-// positive and earlier. If the request body is streamed, the deadline of its upload applies instead.
-func (l *eventLoop) StartAttempt(id uint64, endpoint uint32, timeout balancer.Micros) {
+// positive and earlier. If the request body is streamed, the deadline of its upload applies instead. Connecting may take long: the
+// request is not sent from sendBefore on, if that is positive.
+func (l *eventLoop) StartAttempt(id uint64, endpoint uint32, timeout, sendBefore balancer.Micros) {
 	r := l.requests[id]
 	now := l.clock.now()
 	deadline := r.deadline
@@ -28,6 +29,7 @@
 		ctx:       ctx,
 		cancel:    cancel,
 		deadline:  deadline,
+		sendLimit: l.sendLimit(sendBefore),
 		startedAt: now,
 	}
 	r.cancelAttempts = append(r.cancelAttempts, cancel)
@@ -36,6 +38,14 @@
 	go a.run()
 }
 
+// sendLimit returns the time for a sendBefore of the balancer; zero if there is none.
+func (l *eventLoop) sendLimit(sendBefore balancer.Micros) time.Time {
+	if sendBefore <= 0 {
+		return time.Time{}
+	}
+	return l.clock.wallTime(sendBefore)
+}
+
 // attempt is one attempt to get a request served, from StartAttempt until its outcome is reported. After the start, its own
 // goroutine (run) owns it, until run passes it back to the loop's goroutine together with the result.
 type attempt struct {
@@ -44,9 +54,10 @@
 	target  *upstream.Target // nil if no request may be sent to the endpoint
 	outcome balancer.Outcome // completed by finish
 
-	ctx      context.Context // ends when the attempt is canceled; has no deadline
-	cancel   context.CancelFunc
-	deadline balancer.Micros // if the request body is buffered; for a streamed body, see upload.Deadline
+	ctx       context.Context // ends when the attempt is canceled; has no deadline
+	cancel    context.CancelFunc
+	deadline  balancer.Micros // if the request body is buffered; for a streamed body, see upload.Deadline
+	sendLimit time.Time       // the request must not be sent from then on; zero if there is no such time
 
 	startedAt   balancer.Micros // latency is measured from here: the start, or the last byte of a streamed request body
 	respondedAt balancer.Micros // when a streamed response started; 0 if none did
@@ -84,6 +95,7 @@
 	}
 	return a.loop.upstream.Attempt(ctx, a.target, a.request.outgoing, &upstream.Forwarding{
 		StreamContext: a.ctx,
+		SendBefore:    a.sendLimit,
 		MayStart:      a.mayStart,
 		BodySent:      a.bodySent,
 		StartResponse: a.startResponse,
@@ -133,6 +145,9 @@
 	}
 	a.outcome.LoadReport = result.LoadReport
 	a.outcome.Latency = endedAt - a.startedAt
+	if !result.SentAt.IsZero() && a.request.outgoing.Upload == nil {
+		a.outcome.SentAt = a.loop.clock.micros(result.SentAt)
+	}
 	a.loop.attemptFinished(now, a.request, a.outcome, result)
 }
 
--- a/internal/sidecar/endpoints.go
+++ b/internal/sidecar/endpoints.go
@@ -92,12 +92,15 @@
 }
 
 // updateTarget updates where requests to an endpoint are sent. The old target is retired if the endpoint is draining, removed or
-// banned, has restarted or has another address: an attempt that is still connecting to it then sends no request.
+// banned, has restarted, has another address or has moved to another zone or pod: an attempt that is still connecting to it then
+// sends no request. The balancer has to decide anew whether one is safe there.
 func (l *eventLoop) updateTarget(id uint32, to listedEndpoint) {
+	from := l.listedEndpoints[id]
 	l.listedEndpoints[id] = to
 	isUsable := to.state == balancer.Ready && !l.banned[id]
+	hasMoved := from.Zone != to.Zone || from.Pod != to.Pod
 	t := l.targets[id]
-	if t != nil && isUsable && t.Address == to.Address && t.StartedAtMillis == to.StartedAtMillis {
+	if t != nil && isUsable && !hasMoved && t.Address == to.Address && t.StartedAtMillis == to.StartedAtMillis {
 		return
 	}
 	if t != nil {
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -127,9 +127,11 @@
 	return response
 }
 
+// logFailedAttempt logs an attempt that has not served its request. connect is the part of its duration before it was sent.
 func (l *eventLoop) logFailedAttempt(r *pendingRequest, outcome balancer.Outcome, res upstream.Result) {
+	duration := time.Duration(outcome.Latency) * time.Microsecond
 	l.log.Info("attempt not served", "request_id", r.outgoing.Header.Get(requestIDHeader), "attempt", outcome.Attempt,
-		"endpoint", outcome.Endpoint, "outcome", res.Status, "duration", time.Duration(outcome.Latency)*time.Microsecond, "error", res.Err)
+		"endpoint", outcome.Endpoint, "outcome", res.Status, "duration", duration, "connect", max(0, duration-res.Latency), "error", res.Err)
 }
 
 // respond gives the final response, unless the request is done. A nil request is done, too: it has left the table.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -49,6 +49,7 @@
 	Header          http.Header   // of a response with status code 200, like Body; else nil
 	Body            []byte        // nil if the response was streamed
 	LoadReport      []float32     // in the order of Options.LoadReportFields, NaN for a missing value; nil if there is no report
+	SentAt          time.Time     // just before the first write; zero if there was no connection
 	Latency         time.Duration // from the first write to the end of the exchange, without dialing
 	ClientErrorCode int           // status code of the response to a client whose request is at fault; 0 if it is not
 	Err             error         // why there is no complete response, for the log; nil if there is one
@@ -75,15 +76,15 @@
 // The status says that the request never ran only if its last byte was not written or if the endpoint's response says so. In
 // all other cases the request may have run.
 func (c *Client) Attempt(ctx context.Context, target *Target, request *Request, forwarding *Forwarding) Result {
-	startCtx, cancel := request.startContext(ctx)
+	startCtx, cancel := request.startContext(ctx, forwarding)
 	defer cancel()
 	conn, err := c.connect(startCtx, target, request.traffic)
 	if err != nil {
-		return Result{Status: notSentStatus(startCtx, err), Err: err}
+		return Result{Status: notSentStatus(startCtx, err), Err: forwarding.explainNotSent(err)}
 	}
 	start := time.Now()
 	response, body, err := c.transport().exchange(ctx, conn, request, forwarding)
-	result := Result{Latency: time.Since(start), Err: err}
+	result := Result{SentAt: start, Latency: time.Since(start), Err: err}
 	if err != nil {
 		result.Status, result.ClientErrorCode = statusOfError(ctx, forwarding, err)
 		return result
@@ -161,7 +162,8 @@
 // notSentStatus returns the status of a request that was not completely written. ConnectFailed counts against the endpoint;
 // NotSent means that the sidecar itself did not send the request.
 func notSentStatus(ctx context.Context, err error) balancer.Status {
-	if ctx.Err() != nil || errors.Is(err, ErrTargetRetired) || errors.Is(err, ErrNoFreeConnection) || errors.Is(err, ErrRequestOver) {
+	if ctx.Err() != nil || errors.Is(err, ErrTargetRetired) || errors.Is(err, ErrNoFreeConnection) || errors.Is(err, ErrRequestOver) ||
+		errors.Is(err, ErrSendTooLate) {
 		return balancer.NotSent
 	}
 	return balancer.ConnectFailed
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -69,36 +69,39 @@
 }
 
 // uploadWriter writes a body to an endpoint while it arrives from the client. A write fails if the endpoint has not taken all of it
-// by the request's deadline, or within maxEndpointStall.
+// by the request's deadline, within maxEndpointStall, or before sendBefore.
 type uploadWriter struct {
-	conn   *connection
-	ctx    context.Context
-	upload Upload
+	conn       *connection
+	ctx        context.Context
+	upload     Upload
+	sendBefore time.Time // zero if there is no such time
 }
 
 // Write writes all of p.
 func (w uploadWriter) Write(p []byte) (n int, err error) {
 	stallLimit := time.Now().Add(maxEndpointStall)
 	for {
-		deadline := earlier(w.upload.Deadline(), stallLimit)
+		deadline := earliest(w.upload.Deadline(), stallLimit, w.sendBefore)
 		w.conn.setDeadline(w.ctx, deadline)
 		written, err := w.conn.Write(p[n:])
 		n += written
 		if !errors.Is(err, os.ErrDeadlineExceeded) || w.ctx.Err() != nil {
 			return n, err
 		}
-		if !earlier(w.upload.Deadline(), stallLimit).After(deadline) {
+		if !earliest(w.upload.Deadline(), stallLimit, w.sendBefore).After(deadline) {
 			return n, err
 		}
 	}
 }
 
-// earlier returns the earlier of two times.
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+// earliest returns the earliest of the times that are not zero, or zero if all are.
+func earliest(times ...time.Time) (result time.Time) {
+	for _, t := range times {
+		if result.IsZero() || !t.IsZero() && t.Before(result) {
+			result = t
+		}
 	}
-	return b
+	return result
 }
 
 // stallLimitedReader reads a response's body from an endpoint. A read fails if the endpoint sends nothing within
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -7,6 +7,7 @@
 	ErrTargetRetired    = errors.New("endpoint is draining, removed, banned or restarted")
 	ErrNoFreeConnection = errors.New("connection limit reached and no idle connection to close")
 	ErrRequestOver      = errors.New("request ended before it was sent")
+	ErrSendTooLate      = errors.New("the time in which the request may be sent is over")
 )
 
 // errDeadlineExceeded is wrapped by the error of an exchange whose deadline has passed.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -54,13 +54,17 @@
 	return response, body, nil
 }
 
-// checkMayStart is called right before the first byte is written. It returns a *notSentError if the target is retired, or if the
-// request has ended.
+// checkMayStart is called right before the first byte is written. It returns a *notSentError if the target is retired, if it is too
+// late to send the request, or if the request has ended.
 func (c *Client) checkMayStart(ctx context.Context, target *Target, forwarding *Forwarding) error {
 	// The target may have been retired while the connection was dialed.
 	if c.IsRetired(target) {
 		return &notSentError{ErrTargetRetired}
 	}
+	// So may the time in which the request may be sent.
+	if forwarding.isSendTooLate() {
+		return &notSentError{ErrSendTooLate}
+	}
 	// The deadline may have passed or the client may have disconnected just now; a write is interrupted only a little later.
 	if forwarding != nil && !forwarding.MayStart() || ctx.Err() != nil {
 		return &notSentError{ErrRequestOver}
@@ -111,10 +115,17 @@
 	if err != nil {
 		return &notSentError{err}
 	}
+	sendBefore := e.forwarding.sendLimit()
+	if !sendBefore.IsZero() {
+		e.conn.setDeadline(e.ctx, sendBefore)
+	}
 	n, err := e.conn.Write(data)
 	e.request.traffic.AddSent(n, n == len(data))
 	if n < len(data) {
-		return &notSentError{err}
+		return &notSentError{e.forwarding.explainNotSent(err)}
+	}
+	if !sendBefore.IsZero() {
+		e.conn.setDeadline(e.ctx, time.Time{})
 	}
 	return nil
 }
@@ -122,12 +133,12 @@
 // writeUpload writes a request whose body still arrives from the client. Until the last byte is written, the deadline may move on.
 func (e *exchange) writeUpload() error {
 	upload, streamCtx := e.request.Upload, e.forwarding.StreamContext
-	err := e.request.writeUpload(uploadWriter{e.conn, streamCtx, upload})
+	err := e.request.writeUpload(uploadWriter{e.conn, streamCtx, upload, e.forwarding.SendBefore})
 	if clientErr := upload.ClientError(); clientErr != nil {
 		return clientErr
 	}
 	if err != nil {
-		return &notSentError{err}
+		return &notSentError{e.forwarding.explainNotSent(err)}
 	}
 	deadline := upload.Deadline()
 	e.forwarding.BodySent(deadline)
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -50,11 +50,15 @@
 
 // startContext returns ctx with the deadline by which an attempt has to begin to write the request. The caller calls cancel at
 // the end.
-func (r *Request) startContext(ctx context.Context) (startCtx context.Context, cancel context.CancelFunc) {
-	if r.Upload == nil {
+func (r *Request) startContext(ctx context.Context, forwarding *Forwarding) (startCtx context.Context, cancel context.CancelFunc) {
+	deadline := forwarding.sendLimit()
+	if r.Upload != nil {
+		deadline = earliest(r.Upload.Deadline(), deadline)
+	}
+	if deadline.IsZero() {
 		return ctx, func() {}
 	}
-	return context.WithDeadline(ctx, r.Upload.Deadline())
+	return context.WithDeadline(ctx, deadline)
 }
 
 // writeUpload writes the request with the body's buffered start and its Upload.
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -20,6 +20,8 @@
 type Forwarding struct {
 	StreamContext context.Context // the attempt's context, without a deadline
 
+	// SendBefore is the time from which the last byte of the request must not be sent; zero if there is no such time.
+	SendBefore time.Time
 	// MayStart is called before the first byte is written. It reports whether the client still wants the request.
 	MayStart func() bool
 	// BodySent is called after the last byte of a body that was not buffered has been written, with the request's deadline, which
@@ -30,6 +32,28 @@
 	StartResponse func(response *http.Response, buffered []byte, stream *ResponseStream)
 }
 
+// sendLimit returns SendBefore. A nil Forwarding has none.
+func (f *Forwarding) sendLimit() time.Time {
+	if f == nil {
+		return time.Time{}
+	}
+	return f.SendBefore
+}
+
+// isSendTooLate reports whether the last byte of the request must no longer be sent.
+func (f *Forwarding) isSendTooLate() bool {
+	limit := f.sendLimit()
+	return !limit.IsZero() && !time.Now().Before(limit)
+}
+
+// explainNotSent wraps the error of a request that was not sent with ErrSendTooLate, if it is too late to send it.
+func (f *Forwarding) explainNotSent(err error) error {
+	if !f.isSendTooLate() {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrSendTooLate, err)
+}
+
 // ResponseStream is a response that is forwarded while it arrives. The attempt's goroutine creates it. The goroutine of the
 // client's request reads Remainder and calls End exactly once.
 type ResponseStream struct {
