--- a/internal/sidecar/request_handler.go
+++ b/internal/sidecar/request_handler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bramblestand/balancer"
+	"bramblestand/internal/bodybuffer"
 	"bramblestand/internal/upstream"
 )
 
@@ -214,7 +215,8 @@
 		e.writeStream(response)
 		return
 	}
-	e.clients.memory.recordResponse(int64(len(response.body)))
+	// A buffered response is held for a small part of its request's time only.
+	e.clients.memory.recordResponse(min(int64(len(response.body)), bodybuffer.Size))
 	e.controller.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection, on which the write fails as well
 	e.writeBuffered(response)
 	if body.hasUnread() {
--- a/internal/sidecar/request_memory.go
+++ b/internal/sidecar/request_memory.go
@@ -32,7 +32,7 @@
 	revocationDivisor = 4
 	// minStallBeforeRevocation is how long a request in part must not have grown before its reservation may be revoked.
 	minStallBeforeRevocation = 100 * time.Millisecond
-	// responseDecay is the number of responses over which the estimate of a response's length falls to a lower one.
+	// responseDecay is the number of responses over which the estimate of a response's memory falls to a lower one.
 	responseDecay = 64
 )
 
@@ -46,7 +46,7 @@
 	incomingBytes int64     // of requests that were not read in full; part of usedBytes
 	revokedBytes  int64     // of requests that are about to end; part of incomingBytes
 	incoming      list.List // of *memoryReservation with incomingBytes, the one that has not grown for the longest first
-	responseBytes int64     // expected length of a response
+	responseBytes int64     // expected memory of a response
 }
 
 // newRequestMemory returns a requestMemory whose limit is yet to be set; until then there is none.
@@ -68,7 +68,7 @@
 	return m.usedBytes
 }
 
-// recordResponse learns from the length of a response. The estimate rises at once and falls slowly.
+// recordResponse learns from the memory that a response took. The estimate rises at once and falls slowly.
 func (m *requestMemory) recordResponse(bytes int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -79,12 +79,25 @@
 		request.Body = io.NopCloser(bytes.NewReader(r.Body))
 	}
 	var data bytes.Buffer
+	data.Grow(len(r.Body) + headSize(request))
 	if err := request.Write(&data); err != nil {
 		return nil, err
 	}
 	return data.Bytes(), nil
 }
 
+// headSize returns about how many bytes the encoded head of a request takes, rounded up.
+func headSize(request *http.Request) int {
+	const requestLine = 256 // the method, Host and the headers that http.Request.Write adds
+	size := requestLine + len(request.URL.RequestURI())
+	for name, values := range request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
+
 // toHTTP returns the request without its body, with X-Time-Left-Ms set from the deadline unless that is zero.
 func (r *Request) toHTTP(deadline time.Time) *http.Request {
 	request := &http.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: http.Header{}}
