--- a/internal/sidecar/request_handler.go
+++ b/internal/sidecar/request_handler.go
@@ -66,13 +66,18 @@
 	if len(in.TransferEncoding) > 0 {
 		e.closeConnection() // requestFraming ignores the input that follows such a request
 	}
-	if in.URL.Path == readinessPath {
+	if isReadinessCheck(in) {
 		h.serveReadiness(w)
 		return
 	}
 	e.serve()
 }
 
+// isReadinessCheck reports whether a request is a readiness check. Any other is treated as a request of the application.
+func isReadinessCheck(in *http.Request) bool {
+	return (in.Method == http.MethodGet || in.Method == http.MethodHead) && in.URL.EscapedPath() == readinessPath
+}
+
 // serveReadiness answers a readiness check, and ends its connection. Checks may come from any client, and connections that they
 // left open would count towards the limit and keep out the application's.
 func (h *requestHandler) serveReadiness(w http.ResponseWriter) {
--- a/internal/sidecar/request_handler_test.go
+++ b/internal/sidecar/request_handler_test.go
@@ -94,6 +94,31 @@
 	}
 }
 
+// Only a GET or HEAD of the exact path is a readiness check. Guards against peers that send no request of the application and get a 200
+// that no endpoint made.
+func TestOnlyReadinessChecksAreAnsweredWithoutAnEndpoint(t *testing.T) {
+	s := startSidecar(t, nil, readyEndpoint("s-1", "127.0.0.1:1"))
+	for request, want := range map[string]string{
+		"GET /health/ready":          "200",
+		"HEAD /health/ready":         "200",
+		"GET /health/ready?x":        "200",
+		"GET http://x/health/ready":  "200",
+		"POST /health/ready":         "400",
+		"OPTIONS /health/ready":      "400",
+		"GET /health%2Fready":        "400",
+		"GET /health/ready/":         "400",
+		"CONNECT /health/ready":      "400",
+		"PROPFIND /health/ready?x=1": "400",
+	} {
+		conn := s.dial()
+		io.WriteString(conn, request+" HTTP/1.1\r\nHost: x\r\n\r\n")
+		conn.SetReadDeadline(time.Now().Add(clientIdleTimeout / 2))
+		if text, err := io.ReadAll(conn); err != nil || statusCodes(string(text)) != want {
+			t.Errorf("%s: %q, %v; want %s and the end", request, text, err, want)
+		}
+	}
+}
+
 // The sidecar closes the connection of a readiness check after its response.
 func TestReadinessCheckEndsItsConnection(t *testing.T) {
 	s := startSidecar(t, nil, readyEndpoint("s-1", "127.0.0.1:1"))
