--- a/internal/sidecar/request_framing.go
+++ b/internal/sidecar/request_framing.go
@@ -65,6 +65,14 @@
 	}
 }
 
+// bodyRest returns how many bytes can follow before the next head begins. ok is false in a head and between requests.
+func (f *requestFraming) bodyRest() (n int64, ok bool) {
+	if f.isDone {
+		return math.MaxInt64, true
+	}
+	return f.bodyRemaining, f.bodyRemaining > 0
+}
+
 // observeHead processes bytes of a head up to its end. Empty lines before a head are no part of it: net/http skips a few after a
 // POST request, and else rejects the request.
 func (f *requestFraming) observeHead(data []byte) (n int) {
