--- a/internal/sidecar/doc.go
+++ b/internal/sidecar/doc.go
@@ -3,7 +3,8 @@
 //
 // Run wires the parts together. They are listed here in the order in which a request passes through them:
 //
-//   - client_conns.go, client_conn.go, client_conn_close.go, request_framing.go: client connections and their limits
+//   - client_conns.go, client_conn.go, client_conn_read.go, client_conn_close.go, request_framing.go: client connections and their
+//     limits
 //   - request_handler.go, request_parser.go, request_body.go: requests and responses
 //   - request_memory.go, memory_limits.go: the memory of requests, from the first byte of a head to the response
 //   - upload.go, last_byte_bound.go: bodies that are not buffered, and their requests' deadlines
