--- a/internal/sidecar/request_handler.go
+++ b/internal/sidecar/request_handler.go
@@ -220,8 +220,10 @@
 		e.writeStream(response)
 		return
 	}
-	// A buffered response is held for a small part of its request's time only.
-	e.clients.memory.recordResponse(min(int64(len(response.body)), bodybuffer.Size))
+	if response.statusCode == http.StatusOK { // others have no body of an endpoint
+		// A buffered response is held for a small part of its request's time only.
+		e.clients.memory.recordResponse(min(int64(len(response.body)), bodybuffer.Size))
+	}
 	e.controller.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection, on which the write fails as well
 	e.writeBuffered(response)
 	if body.hasUnread() {
--- a/internal/sidecar/request_memory_test.go
+++ b/internal/sidecar/request_memory_test.go
@@ -104,6 +104,33 @@
 	}
 }
 
+// Rejections say nothing about the memory of responses. Guards against an estimate that falls with them, so that too many requests of
+// long responses are admitted after an overload.
+func TestRejectionsDoNotLowerTheResponseEstimate(t *testing.T) {
+	e := endpointtest.NewServer(t, endpointtest.Always(endpointtest.OKResponse))
+	s := startSidecar(t, nil, readyEndpoint("s-1", e.Address))
+	estimate := func() int64 {
+		s.server.clients.memory.mu.Lock()
+		defer s.server.clients.memory.mu.Unlock()
+		return s.server.clients.memory.responseBytes
+	}
+	s.onLoop(func() { s.loop.setBans(s.loop.clock.now(), []string{"s-1"}) })
+	before := estimate()
+	for range 10 {
+		if got := s.send(s.request("read", "", time.Minute)); got.statusCode != http.StatusServiceUnavailable {
+			t.Fatalf("%v, want 503", got)
+		}
+	}
+	if after := estimate(); after != before {
+		t.Errorf("the estimate went from %d to %d by rejections", before, after)
+	}
+	s.onLoop(func() { s.loop.setBans(s.loop.clock.now(), nil) })
+	s.await("a response", func() bool { return s.send(s.request("read", "", time.Minute)).statusCode == http.StatusOK })
+	if after := estimate(); after >= before {
+		t.Errorf("the estimate is %d after a short response, want less than %d", after, before)
+	}
+}
+
 // Connections and requests together never get more than the part of the platform's limit that is meant for memory in use, and a
 // third of the descriptors can be clients even with the least memory.
 func TestMemoryIsDividedWithinTheLimit(t *testing.T) {
