--- a/internal/sidecar/client_conn_eviction.go
+++ b/internal/sidecar/client_conn_eviction.go
@@ -195,7 +195,7 @@
 func (c *clientConns) countEviction(class evictionClass) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.evicted[class]++
+	c.totals.evicted[class]++
 }
 
 // connectedFor returns the time since the client connected or last sent something. It includes the time for which the connection
