Give the time until which an attempt may be sent one name, and reword four comments

It was sendBefore, sendLimit and SendBefore. An empty head has a constructor, so that the end of a head no longer makes a whole framing. No behaviour changes.

--- a/balancer/retry_safety.go
+++ b/balancer/retry_safety.go
@@ -38,7 +38,7 @@
 	return false
 }
 
-// endOfDedupWindow returns when endpoints stop to drop duplicates of a request that is idempotent with its
+// endOfDedupWindow returns when endpoints stop dropping duplicates of a request that is idempotent with its
 // key, or 0 if there is no such time: no attempt may have run, or the request is of another kind. The window
 // begins when the first attempt that may have run was sent.
 func (b *Balancer) endOfDedupWindow(r *request) Micros {
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -22,15 +22,15 @@
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
 	a := &attempt{
-		loop:      l,
-		request:   r,
-		target:    l.targets[endpoint],
-		outcome:   balancer.Outcome{ID: id, Attempt: len(r.cancelAttempts), Endpoint: endpoint},
-		ctx:       ctx,
-		cancel:    cancel,
-		deadline:  deadline,
-		sendLimit: l.sendLimit(sendBefore),
-		startedAt: now,
+		loop:       l,
+		request:    r,
+		target:     l.targets[endpoint],
+		outcome:    balancer.Outcome{ID: id, Attempt: len(r.cancelAttempts), Endpoint: endpoint},
+		ctx:        ctx,
+		cancel:     cancel,
+		deadline:   deadline,
+		sendBefore: l.sendBeforeTime(sendBefore),
+		startedAt:  now,
 	}
 	r.cancelAttempts = append(r.cancelAttempts, cancel)
 	r.outstanding++
@@ -38,8 +38,8 @@
 	go a.run()
 }
 
-// sendLimit returns the time for a sendBefore of the balancer; zero if there is none.
-func (l *eventLoop) sendLimit(sendBefore balancer.Micros) time.Time {
+// sendBeforeTime returns the time.Time for a sendBefore of the balancer; zero if there is none.
+func (l *eventLoop) sendBeforeTime(sendBefore balancer.Micros) time.Time {
 	if sendBefore <= 0 {
 		return time.Time{}
 	}
@@ -54,10 +54,10 @@
 	target  *upstream.Target // nil if no request may be sent to the endpoint
 	outcome balancer.Outcome // completed by finish
 
-	ctx       context.Context // ends when the attempt is canceled; has no deadline
-	cancel    context.CancelFunc
-	deadline  balancer.Micros // if the request body is buffered; for a streamed body, see upload.Deadline
-	sendLimit time.Time       // the request must not be sent from then on; zero if there is no such time
+	ctx        context.Context // ends when the attempt is canceled; has no deadline
+	cancel     context.CancelFunc
+	deadline   balancer.Micros // if the request body is buffered; for a streamed body, see upload.Deadline
+	sendBefore time.Time       // the request must not be sent from then on; zero if there is no such time
 
 	startedAt   balancer.Micros // latency is measured from here: the start, or the last byte of a streamed request body
 	respondedAt balancer.Micros // when a streamed response started; 0 if none did
@@ -95,7 +95,7 @@
 	}
 	return a.loop.upstream.Attempt(ctx, a.target, a.request.outgoing, &upstream.Forwarding{
 		StreamContext: a.ctx,
-		SendBefore:    a.sendLimit,
+		SendBefore:    a.sendBefore,
 		MayStart:      a.mayStart,
 		BodySent:      a.bodySent,
 		StartResponse: a.startResponse,
--- a/internal/sidecar/request_framing.go
+++ b/internal/sidecar/request_framing.go
@@ -46,9 +46,10 @@
 // that grow while it is read.
 func (h requestHead) memory() int64 { return int64(h.bytes + h.bytes/2 + h.lines*headLineMemory) }
 
-func newRequestFraming() requestFraming {
-	return requestFraming{partialHead: requestHead{contentLength: unknownContentLength}}
-}
+// newRequestHead returns a head of which nothing was read.
+func newRequestHead() requestHead { return requestHead{contentLength: unknownContentLength} }
+
+func newRequestFraming() requestFraming { return requestFraming{partialHead: newRequestHead()} }
 
 // observe processes the next bytes of the stream, up to the end of the current head or body. It returns the number of bytes that
 // it has processed, which is at least 1 unless data is empty.
@@ -130,7 +131,7 @@
 func (f *requestFraming) endHead() {
 	f.headsRead++
 	f.isInHead = false
-	f.head, f.partialHead = f.partialHead, newRequestFraming().partialHead
+	f.head, f.partialHead = f.partialHead, newRequestHead()
 	// The end of a body in chunks is not found. The sidecar closes the connection after such a request.
 	f.isDone = f.head.hasTransferCoding
 	f.bodyRemaining = max(0, f.head.contentLength)
@@ -147,7 +148,7 @@
 // hasReadAhead reports whether input was read that follows the current request, of which the body is complete.
 func (f *requestFraming) hasReadAhead() bool { return f.isInHead || f.blankBytes > 0 }
 
-// check returns an error unless the head leaves no doubt about the end of its request, as which net/http has parsed in.
+// check returns an error unless the head and in, which net/http has parsed from the same head, agree on where the request ends.
 func (h requestHead) check(in *http.Request) *invalidRequest {
 	switch {
 	case h.hasTransferCoding && !in.ProtoAtLeast(1, 1):
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -57,11 +57,10 @@
 // checkMayStart is called right before the first byte is written. It returns a *notSentError if the target is retired, if it is too
 // late to send the request, or if the request has ended.
 func (c *Client) checkMayStart(ctx context.Context, target *Target, forwarding *Forwarding) error {
-	// The target may have been retired while the connection was dialed.
+	// While the connection was dialed, the target may have been retired, or it may have become too late to send the request.
 	if c.IsRetired(target) {
 		return &notSentError{ErrTargetRetired}
 	}
-	// So may the time in which the request may be sent.
 	if forwarding.isSendTooLate() {
 		return &notSentError{ErrSendTooLate}
 	}
@@ -115,7 +114,7 @@
 	if err != nil {
 		return &notSentError{err}
 	}
-	sendBefore := e.forwarding.sendLimit()
+	sendBefore := e.forwarding.sendBefore()
 	if !sendBefore.IsZero() {
 		e.conn.setDeadline(e.ctx, sendBefore)
 	}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -51,7 +51,7 @@
 // startContext returns ctx with the deadline by which an attempt has to begin to write the request. The caller calls cancel at
 // the end.
 func (r *Request) startContext(ctx context.Context, forwarding *Forwarding) (startCtx context.Context, cancel context.CancelFunc) {
-	deadline := forwarding.sendLimit()
+	deadline := forwarding.sendBefore()
 	if r.Upload != nil {
 		deadline = earliest(r.Upload.Deadline(), deadline)
 	}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -32,8 +32,8 @@
 	StartResponse func(response *http.Response, buffered []byte, stream *ResponseStream)
 }
 
-// sendLimit returns SendBefore. A nil Forwarding has none.
-func (f *Forwarding) sendLimit() time.Time {
+// sendBefore returns SendBefore. A nil Forwarding has none.
+func (f *Forwarding) sendBefore() time.Time {
 	if f == nil {
 		return time.Time{}
 	}
@@ -42,7 +42,7 @@
 
 // isSendTooLate reports whether the last byte of the request must no longer be sent.
 func (f *Forwarding) isSendTooLate() bool {
-	limit := f.sendLimit()
+	limit := f.sendBefore()
 	return !limit.IsZero() && !time.Now().Before(limit)
 }
 
